Thin whole path: serve, standin, load and try

Cause: nothing stood yet. Change: module with the pure packages (apcode, apfleet, apsettings, apstore, aplease, apmesh, aproute, apclaim, apcontrol), the entry, the daemon, stand-ins, callers, the command line and a trial in one process.

--- /dev/null
+++ b/internal/apcommand/fleet.go
@@ -0,0 +1,134 @@
+package apcommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"auburnport/internal/apoperator"
+	"auburnport/pkg/apfleet"
+)
+
+func (a *app) addFleet() {
+	a.addStatus()
+	a.addVM()
+	a.addWave()
+}
+
+// asOperator adds a command that asks an entry.
+func (a *app) asOperator(parent interface {
+	Command(name, help string) *kingpin.CmdClause
+}, name, help string, run func(context.Context, *apoperator.Client) error,
+) *kingpin.CmdClause {
+	var flags operatorFlags
+	command := a.command(parent, name, help, func(ctx context.Context) error {
+		client, err := flags.client()
+		if err != nil {
+			return err
+		}
+		return run(ctx, client)
+	})
+	flags.add(command)
+	return command
+}
+
+func (a *app) addStatus() {
+	a.asOperator(a.kingpin, "status", "Print the state of the fleet.", func(ctx context.Context, client *apoperator.Client) error {
+		status, err := client.Status(ctx)
+		if err == nil {
+			writeStatus(a.out, status)
+		}
+		return err
+	})
+}
+
+func writeStatus(out io.Writer, s apoperator.Status) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintf(w, "Deployment %s, settings at revision %d, seen by %s\n\n", s.Deployment, s.SettingsRevision, s.Entry)
+	_, _ = fmt.Fprintln(w, "ENTRY\tSTATE\tSETTINGS\tROLE")
+	for _, e := range s.Entries {
+		role := ""
+		if e.Holder {
+			role = "control"
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%s\n", e.Name, e.State, e.Settings, role)
+	}
+	_, _ = fmt.Fprintln(w, "\nPOOL\tSERVICE\tSIZE\tOWNED\tAVAILABLE\tMIN\tDISRUPTED\tDEMAND")
+	for _, p := range s.Pools {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\n", p.Pool, p.Service, p.Size, p.Owned, p.Available, p.MinAvailable, p.Disrupted, p.Demand)
+	}
+	_, _ = fmt.Fprintln(w, "\nVM\tPOOL\tSERVICE\tSTATE\tRACK\tBOOTS\tSTOP")
+	for _, v := range s.VMs {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%s\n", v.ID, v.Pool, v.Service, v.State, v.Rack, v.Generation, v.Disruption)
+	}
+	_ = w.Flush()
+}
+
+func (a *app) accepted(accepted apoperator.Accepted, err error) error {
+	if err == nil {
+		_, _ = fmt.Fprintf(a.out, "accepted at revision %d\n", accepted.Revision)
+	}
+	return err
+}
+
+func (a *app) addVM() {
+	vm := a.kingpin.Command("vm", "Drain, reboot, move and return VMs.")
+	a.addVMOrder(vm, "drain", "Take work from a VM until it is returned.", apfleet.DisruptDrain)
+	a.addVMOrder(vm, "reboot", "Drain and reboot a VM.", apfleet.DisruptReboot)
+	a.addVMOrder(vm, "move", "Drain a VM and give it to another pool.", apfleet.DisruptMove)
+	var id string
+	back := a.asOperator(vm, "return", "Take a drain or a move back.", func(ctx context.Context, client *apoperator.Client) error {
+		return a.accepted(client.ReturnVM(ctx, apfleet.VMID(id)))
+	})
+	back.Arg("vm", "Name of the VM.").Required().StringVar(&id)
+}
+
+func (a *app) addVMOrder(vm *kingpin.CmdClause, name, help string, kind apfleet.DisruptionKind) {
+	var id, target string
+	command := a.asOperator(vm, name, help, func(ctx context.Context, client *apoperator.Client) error {
+		return a.accepted(client.DisruptVM(ctx, apoperator.VMOrder{VM: apfleet.VMID(id), Kind: kind, Target: apfleet.PoolName(target)}))
+	})
+	command.Arg("vm", "Name of the VM.").Required().StringVar(&id)
+	if kind == apfleet.DisruptMove {
+		command.Arg("pool", "Pool that receives the VM.").Required().StringVar(&target)
+	}
+}
+
+func (a *app) addWave() {
+	wave := a.kingpin.Command("wave", "Run maintenance waves.")
+	var name string
+	start := a.asOperator(wave, "start", "Reboot every VM once, within the budgets.", func(ctx context.Context, client *apoperator.Client) error {
+		return a.accepted(client.StartWave(ctx, name))
+	})
+	start.Arg("name", "Name of the wave.").Required().StringVar(&name)
+	a.asOperator(wave, "pause", "Begin no further planned stops.", func(ctx context.Context, client *apoperator.Client) error {
+		return a.accepted(client.PauseWave(ctx, true))
+	})
+	a.asOperator(wave, "continue", "Go on with a paused wave.", func(ctx context.Context, client *apoperator.Client) error {
+		return a.accepted(client.PauseWave(ctx, false))
+	})
+	a.asOperator(wave, "status", "Print how far the wave is.", func(ctx context.Context, client *apoperator.Client) error {
+		status, err := client.Wave(ctx)
+		if err == nil {
+			writeWave(a.out, status)
+		}
+		return err
+	})
+}
+
+func writeWave(out io.Writer, s apoperator.WaveStatus) {
+	state := "running"
+	switch {
+	case s.Wave.Name == "":
+		_, _ = fmt.Fprintln(out, "no wave has been started")
+		return
+	case !s.Wave.Ended.IsZero():
+		state = "ended after " + s.Wave.Ended.Sub(s.Wave.Started).String()
+	case s.Wave.Paused:
+		state = "paused: " + s.Wave.Reason
+	}
+	_, _ = fmt.Fprintf(out, "wave %s: %d of %d VMs rebooted, %s\n", s.Wave.Name, s.Done, s.Total, state)
+}
--- /dev/null
+++ b/internal/apdaemon/loops.go
@@ -0,0 +1,312 @@
+package apdaemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"auburnport/internal/apentry"
+	"auburnport/pkg/apcode"
+	"auburnport/pkg/apfleet"
+	"auburnport/pkg/apmesh"
+	"auburnport/pkg/apstore"
+)
+
+// report is what this entry tells the others in each heartbeat. Disruptions are read before the
+// requests in flight, so that a VM that is reported empty stays empty.
+func (d *Daemon) report() apmesh.Report {
+	_, revision := d.state.Settings()
+	report := apmesh.Report{
+		Leaving:  d.isLeaving(),
+		Demands:  d.entry.Demands(),
+		Loads:    d.entry.Loads(),
+		Settings: revision,
+		Holder:   d.holds(),
+		Down:     d.entry.Down(),
+	}
+	for _, row := range d.state.Obeyed() {
+		report.Drains = append(report.Drains, apmesh.DrainReport{
+			VM: row.VM, Operation: row.Operation, InFlight: d.entry.InFlightTo(row.VM),
+		})
+	}
+	return report
+}
+
+func (d *Daemon) holds() bool { return d.held.Load() }
+
+// share applies what the other entries reported, and gives waiting requests their turn.
+func (d *Daemon) share(now time.Time) {
+	var remote apentry.Remote
+	for _, member := range d.node.Members() {
+		remote.Members = append(remote.Members, member.Name)
+		if member.Name != d.self.Name {
+			remote.Reports = append(remote.Reports, member.Report)
+		}
+	}
+	if members := len(remote.Members); int64(members) != d.members.Swap(int64(members)) {
+		d.state.notify()
+	}
+	d.claimant.Observe(now)
+	d.entry.ApplyRemote(now, d.self.Name, remote)
+	d.entry.Tick(now)
+}
+
+// watchState applies each change of the state to routing.
+func (d *Daemon) watchState(ctx context.Context) error {
+	for {
+		select {
+		case <-d.state.changed:
+		case <-ctx.Done():
+			return nil
+		}
+		fleet, disruptions := d.state.Fleet(int(max(d.members.Load(), 1)))
+		d.entry.SetFleet(fleet)
+		d.state.SetObeyed(disruptions)
+		settings, _ := d.state.Settings()
+		for _, path := range settings.Services(d.config.Entry.Deployment) {
+			d.claimant.SetWindow(settings.Resolve(path).ClaimWindow)
+		}
+		d.metricsGauges(fleet)
+	}
+}
+
+func (d *Daemon) metricsGauges(fleet apentry.Fleet) {
+	for _, service := range fleet.Services {
+		metrics.GetOrRegisterGauge("Fleet."+string(service.Name)+".Instances", d.metrics).Update(int64(len(service.Instances)))
+	}
+}
+
+// refreshList asks the platform for the list of VMs.
+func (d *Daemon) refreshList(ctx context.Context, _ time.Time) {
+	list, err := d.lister.List(ctx, d.state.ListVersion())
+	if err != nil {
+		metrics.GetOrRegisterCounter("Platform.ListFailed", d.metrics).Inc(1)
+		return
+	}
+	if len(list.VMs) > 0 {
+		d.state.SetList(list)
+	}
+}
+
+// relayCount is how many entries of a deployment watch the store.
+const relayCount = 2
+
+// isRelay reports whether this entry is one of those that watch the store.
+func (d *Daemon) isRelay() bool {
+	mine := xxhash.Sum64String("relay/" + string(d.self.Name))
+	above := 0
+	for _, member := range d.node.Members() {
+		if xxhash.Sum64String("relay/"+string(member.Name)) > mine {
+			above++
+		}
+	}
+	return above < relayCount
+}
+
+// relay watches the store on behalf of all entries while this entry is one of the relays.
+func (d *Daemon) relay(ctx context.Context) error {
+	var after apstore.Revision
+	for ctx.Err() == nil {
+		if !d.isRelay() || !d.joined.Load() {
+			pause(ctx, idleRelay)
+			after = 0
+			continue
+		}
+		known := d.state.Revision()
+		page, err := d.store.Watch(ctx, apfleet.KeyPrefix, after, watchWait)
+		if err != nil {
+			metrics.GetOrRegisterCounter("Store.WatchFailed", d.metrics).Inc(1)
+			pause(ctx, relayRetry)
+			after = 0
+			continue
+		}
+		d.state.CheckStore(page.Revision, known)
+		after = d.publishAll(page, after)
+	}
+	return nil
+}
+
+// publishAll applies the values of a page and returns the revision from which to watch on.
+func (d *Daemon) publishAll(page apstore.Page, after apstore.Revision) apstore.Revision {
+	for _, value := range page.Values {
+		doc, err := apstore.Open(value)
+		if err != nil {
+			d.logger.WithError(err).WithFields(logrus.Fields{"Event": "DocumentBad", "Key": value.Key}).Error()
+			continue
+		}
+		d.node.Publish(doc)
+		after = max(after, value.Revision)
+	}
+	return after
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// controlTick runs the systems once when this entry holds the control lease.
+func (d *Daemon) controlTick(ctx context.Context, now time.Time) {
+	if d.isLeaving() || !d.joined.Load() || !d.state.Ready() {
+		return
+	}
+	if !d.holds() && d.otherHolder() {
+		return
+	}
+	if d.state.Regressed() != nil {
+		return
+	}
+	grant := d.lease.Step(ctx, now)
+	if d.held.Swap(grant.Held) != grant.Held {
+		d.logger.WithFields(logrus.Fields{"Event": "ControlLease", "Held": grant.Held, "Epoch": grant.Epoch}).Info()
+	}
+	if !grant.Held {
+		return
+	}
+	started := time.Now()
+	tables := d.state.Tables(now, grant.Epoch, d.everyMember())
+	intents := d.control.Step(tables)
+	metrics.GetOrRegisterTimer("Control.Tick", d.metrics).UpdateSince(started)
+	d.executor.Run(ctx, intents, func() bool { return d.lease.Held(time.Now()).Held })
+}
+
+// otherHolder reports whether another entry says that it holds the control lease, so that the store
+// need not be asked.
+func (d *Daemon) otherHolder() bool {
+	for _, member := range d.node.Members() {
+		if member.Name != d.self.Name && member.State == apmesh.MemberAlive && member.Report.Holder {
+			return true
+		}
+	}
+	return false
+}
+
+// everyMember returns all known entries, this one included.
+func (d *Daemon) everyMember() []apmesh.Member {
+	self := apmesh.Member{Registration: d.self, Report: d.report()}
+	return append(d.node.Known(), self)
+}
+
+// join registers this entry and takes the documents from the store. While the store is away the
+// documents come from peers.
+func (d *Daemon) join(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := d.tryJoin(ctx)
+		if err == nil {
+			d.joined.Store(true)
+			d.logger.WithFields(logrus.Fields{"Event": "Joined", "Entry": d.self.Name, "Incarnation": d.self.Incarnation}).Info()
+			return
+		}
+		d.logger.WithError(err).WithField("Event", "JoinFailed").Warn()
+		d.attachFromPeers()
+		pause(ctx, joinRetry)
+	}
+}
+
+func (d *Daemon) tryJoin(ctx context.Context) error {
+	var earlier []apfleet.Registration
+	doc, err := d.client.Update(ctx, apfleet.KeyRegistry, func(doc apstore.Document) ([]byte, error) {
+		var registry apfleet.Registry
+		if err := decodeOptional(doc.Body, &registry); err != nil {
+			return nil, err
+		}
+		earlier = registry.Entries
+		registry = registry.Without(d.self.Name)
+		registry.Entries = append(registry.Entries, d.self)
+		return apfleet.Encode(registry), nil
+	})
+	if err != nil {
+		return err
+	}
+	known := d.state.Revision()
+	page, err := d.store.List(ctx, apfleet.KeyPrefix)
+	if err != nil {
+		return err
+	}
+	d.node.Learn(earlier)
+	d.attach(earlier)
+	d.state.CheckStore(page.Revision, known)
+	d.publishAll(page, 0)
+	d.node.Publish(doc)
+	return d.createSettings(ctx)
+}
+
+// attachFromPeers lets this entry work before the store answers, once its peers have told it of the
+// registered entries.
+func (d *Daemon) attachFromPeers() {
+	registered := d.state.Registered()
+	if len(registered) == 0 {
+		return
+	}
+	d.node.Learn(registered)
+	d.attach(registered)
+}
+
+// attach gives the claimant its mesh and those who may know of earlier ids, once.
+func (d *Daemon) attach(earlier []apfleet.Registration) {
+	if d.attached.CompareAndSwap(false, true) {
+		d.claimant.Attach(d.node, earlier)
+	}
+}
+
+// createSettings writes the settings tree of a deployment that has none.
+func (d *Daemon) createSettings(ctx context.Context) error {
+	if _, revision := d.state.Settings(); revision != 0 || d.initial == nil {
+		return nil
+	}
+	doc, err := d.client.SwapAt(ctx, apfleet.KeySettings, 0, func(apstore.Document) ([]byte, error) {
+		return apfleet.Encode(*d.initial), nil
+	})
+	if apcode.Is(err, apcode.StoreConflict) {
+		doc, err = d.client.Read(ctx, apfleet.KeySettings)
+	}
+	if err != nil {
+		return err
+	}
+	d.node.Publish(doc)
+	return nil
+}
+
+// leave answers what is in flight, hands claims over, gives the lease and the registration up.
+func (d *Daemon) leave(ctx context.Context, s servers) {
+	ctx, cancel := context.WithTimeout(ctx, leaveLimit)
+	defer cancel()
+	close(d.leaving)
+	d.logger.WithFields(logrus.Fields{"Event": "Leaving", "Entry": d.self.Name, "InFlight": d.entry.InFlight()}).Info()
+	pause(ctx, leaveNotice)
+	d.entry.Leave()
+	d.held.Store(false)
+	if err := d.lease.Release(ctx); err != nil {
+		d.logger.WithError(err).WithField("Event", "LeaseNotReleased").Warn()
+	}
+	_ = s.caller.Shutdown(ctx)
+	_ = d.entry.Wait()
+	left := d.claimant.HandOver(ctx)
+	if d.joined.Load() {
+		d.deregister(ctx)
+	}
+	d.node.Leave(ctx, left)
+	_ = s.operator.Shutdown(ctx)
+	_ = s.mesh.Close()
+	d.logger.WithFields(logrus.Fields{"Event": "Left", "Entry": d.self.Name, "HandedOver": left.HandedOver}).Info()
+}
+
+func (d *Daemon) deregister(ctx context.Context) {
+	doc, err := d.client.Update(ctx, apfleet.KeyRegistry, func(doc apstore.Document) ([]byte, error) {
+		var registry apfleet.Registry
+		if err := decodeOptional(doc.Body, &registry); err != nil {
+			return nil, err
+		}
+		return apfleet.Encode(registry.Without(d.self.Name)), nil
+	})
+	if err != nil {
+		d.logger.WithError(err).WithField("Event", "NotDeregistered").Warn()
+		return
+	}
+	d.node.Publish(doc)
+}
--- /dev/null
+++ b/internal/aplog/aplog.go
@@ -0,0 +1,84 @@
+// Package aplog writes logs of one line of Key=value pairs for each event.
+package aplog
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"auburnport/pkg/apcode"
+)
+
+// Formats of log lines.
+const (
+	FormatText = "text"
+	FormatJSON = "json"
+)
+
+// New returns a logger at a level and in a format. Errors carry BadValue.
+func New(out io.Writer, level, format string) (*logrus.Logger, error) {
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, apcode.Errorf(apcode.BadValue, "log level %q is none of error, warn, info, debug", level)
+	}
+	logger := logrus.New()
+	logger.SetOutput(out)
+	logger.SetLevel(parsed)
+	switch format {
+	case FormatText:
+		logger.SetFormatter(lineFormatter{})
+	case FormatJSON:
+		logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	default:
+		return nil, apcode.Errorf(apcode.BadValue, "log format %q is neither text nor json", format)
+	}
+	return logger, nil
+}
+
+// lineFormatter writes Key=value pairs in the order of their keys.
+type lineFormatter struct{}
+
+// Format implements logrus.Formatter.
+func (lineFormatter) Format(entry *logrus.Entry) ([]byte, error) {
+	buffer := entry.Buffer
+	if buffer == nil {
+		buffer = &bytes.Buffer{}
+	}
+	buffer.WriteString("Time=")
+	buffer.Write(entry.Time.UTC().AppendFormat(buffer.AvailableBuffer(), time.RFC3339Nano))
+	buffer.WriteString(" Level=")
+	buffer.WriteString(entry.Level.String())
+	keys := make([]string, 0, len(entry.Data))
+	for key := range entry.Data {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	for _, key := range keys {
+		writePair(buffer, key, entry.Data[key])
+	}
+	if entry.Message != "" {
+		writePair(buffer, "Message", entry.Message)
+	}
+	buffer.WriteByte('\n')
+	return buffer.Bytes(), nil
+}
+
+func writePair(buffer *bytes.Buffer, key string, value any) {
+	if key == logrus.ErrorKey {
+		key = "Error"
+	}
+	buffer.WriteByte(' ')
+	buffer.WriteString(key)
+	buffer.WriteByte('=')
+	text := fmt.Sprint(value)
+	if text == "" || strings.ContainsAny(text, " =\"\n\r\t") {
+		text = strconv.Quote(text)
+	}
+	buffer.WriteString(text)
+}
--- /dev/null
+++ b/internal/applatform/http/http.go
@@ -0,0 +1,138 @@
+// Package http speaks the platform's interfaces over HTTP with CBOR bodies: a client, and a handler
+// that serves any other implementation.
+package http
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"auburnport/internal/applatform"
+	"auburnport/pkg/apcode"
+	"auburnport/pkg/apfleet"
+)
+
+const (
+	pathList    = "/platform/list"
+	pathDrain   = "/platform/drain"
+	pathReturn  = "/platform/return"
+	pathRestart = "/platform/restart"
+
+	callTimeout  = 2 * time.Second
+	maxBodyBytes = 8 << 20
+)
+
+// known is the body of a request for the list.
+type known struct {
+	Version uint64 `cbor:"Version"`
+}
+
+// Check accepts every version.
+func (known) Check() error { return nil }
+
+// reply is the body of every answer.
+type reply struct {
+	Code   apcode.Code    `cbor:"Code"`
+	Detail string         `cbor:"Detail"`
+	List   apfleet.VMList `cbor:"List"`
+}
+
+// Check checks the list.
+func (r reply) Check() error { return r.List.Check() }
+
+// Platform is a client of the platform's interfaces.
+type Platform struct {
+	base   string
+	client *http.Client
+}
+
+// New returns a client of the platform at address.
+func New(address netip.AddrPort) *Platform {
+	return &Platform{base: "http://" + address.String(), client: &http.Client{Transport: &http.Transport{}, Timeout: callTimeout}}
+}
+
+// List implements applatform.Lister.
+func (p *Platform) List(ctx context.Context, version uint64) (apfleet.VMList, error) {
+	r, err := p.call(ctx, pathList, known{Version: version})
+	return r.List, err
+}
+
+// Drain implements applatform.Pools.
+func (p *Platform) Drain(ctx context.Context, operation applatform.Operation) error {
+	_, err := p.call(ctx, pathDrain, operation)
+	return err
+}
+
+// Return implements applatform.Pools.
+func (p *Platform) Return(ctx context.Context, operation applatform.Operation) error {
+	_, err := p.call(ctx, pathReturn, operation)
+	return err
+}
+
+// Restart implements applatform.Pools.
+func (p *Platform) Restart(ctx context.Context, operation applatform.Operation) error {
+	_, err := p.call(ctx, pathRestart, operation)
+	return err
+}
+
+func (p *Platform) call(ctx context.Context, path string, body any) (reply, error) {
+	var r reply
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, p.base+path, bytes.NewReader(apfleet.Encode(body)))
+	if err != nil {
+		return r, apcode.Wrapf(apcode.PlatformFailed, err, "%s", path)
+	}
+	response, err := p.client.Do(request)
+	if err != nil {
+		return r, apcode.Wrapf(apcode.PlatformFailed, err, "%s", path)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+	if err != nil {
+		return r, apcode.Wrapf(apcode.PlatformFailed, err, "%s", path)
+	}
+	if err := apfleet.Decode(data, &r); err != nil {
+		return r, apcode.Wrapf(apcode.PlatformFailed, err, "%s", path)
+	}
+	if r.Code != apcode.OK {
+		return r, apcode.Errorf(r.Code, "%s", r.Detail)
+	}
+	return r, nil
+}
+
+// Handler serves the platform's interfaces over HTTP.
+func Handler(lister applatform.Lister, pools applatform.Pools) http.Handler {
+	mux := http.NewServeMux()
+	handle(mux, pathList, func(ctx context.Context, k known) (apfleet.VMList, error) {
+		return lister.List(ctx, k.Version)
+	})
+	order := func(path string, act func(context.Context, applatform.Operation) error) {
+		handle(mux, path, func(ctx context.Context, o applatform.Operation) (apfleet.VMList, error) {
+			return apfleet.VMList{}, act(ctx, o)
+		})
+	}
+	order(pathDrain, pools.Drain)
+	order(pathReturn, pools.Return)
+	order(pathRestart, pools.Restart)
+	return mux
+}
+
+func handle[T apfleet.Checker](mux *http.ServeMux, path string, serve func(context.Context, T) (apfleet.VMList, error)) {
+	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+		if err != nil {
+			return
+		}
+		var message T
+		var answer reply
+		if err = apfleet.Decode(data, &message); err == nil {
+			answer.List, err = serve(r.Context(), message)
+		}
+		if err != nil {
+			answer = reply{Code: apcode.Of(err), Detail: err.Error()}
+		}
+		_, _ = w.Write(apfleet.Encode(answer))
+	})
+}
--- /dev/null
+++ b/internal/apstandin/server.go
@@ -0,0 +1,156 @@
+package apstandin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	platformhttp "auburnport/internal/applatform/http"
+	"auburnport/pkg/apcode"
+	"auburnport/pkg/apfleet"
+	storehttp "auburnport/pkg/apstore/http"
+	"auburnport/pkg/apstore/memory"
+)
+
+const (
+	pathReport = "/standin/report"
+	pathFault  = "/standin/fault"
+)
+
+// Standin is the platform and the backend servers in one process.
+type Standin struct {
+	Fleet *Fleet
+	Store *Store
+
+	memory   *memory.Store
+	listener net.Listener
+	group    *errgroup.Group
+}
+
+// New starts the backend servers and listens at address.
+func New(options Options, address netip.AddrPort) (*Standin, error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, apcode.Wrapf(apcode.BadAddress, err, "listen at %s", address)
+	}
+	group := &errgroup.Group{}
+	fleet, err := NewFleet(options, group)
+	if err != nil {
+		return nil, err
+	}
+	inner := memory.New()
+	return &Standin{Fleet: fleet, Store: NewStore(inner), memory: inner, listener: listener, group: group}, nil
+}
+
+// Address returns where the platform answers.
+func (s *Standin) Address() netip.AddrPort { return s.listener.Addr().(*net.TCPAddr).AddrPort() }
+
+// Run serves until ctx ends.
+func (s *Standin) Run(ctx context.Context) error {
+	server := &http.Server{Handler: s.handler(), ReadHeaderTimeout: 10 * time.Second}
+	s.group.Go(func() error {
+		_ = server.Serve(s.listener)
+		return nil
+	})
+	<-ctx.Done()
+	_ = server.Close()
+	s.Fleet.Close()
+	return s.group.Wait()
+}
+
+// Report returns what the backend servers and the store recorded.
+func (s *Standin) Report() Report {
+	report := s.Fleet.Report()
+	calls := s.memory.Calls()
+	report.StoreReads = calls.Reads
+	report.StoreWrites = calls.Writes
+	report.StoreWatches = calls.Watches
+	report.StoreLeases = calls.Leases
+	return report
+}
+
+func (s *Standin) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/store/", storehttp.Handler(s.Store))
+	mux.Handle("/platform/", platformhttp.Handler(s.Fleet, s.Fleet))
+	mux.HandleFunc("GET "+pathReport, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(apfleet.Encode(s.Report()))
+	})
+	mux.HandleFunc("POST "+pathFault, s.serveFault)
+	return mux
+}
+
+// Fault asks a stand-in for a fault.
+type Fault struct {
+	// Kind is one of FaultKinds.
+	Kind string `json:"Kind"`
+	// Target is a VM, a rack or, for StoreLoseReplies, a number.
+	Target string `json:"Target"`
+	// Count is the number of replies to lose.
+	Count int `json:"Count"`
+	// Delay comes before every call of the store.
+	Delay time.Duration `json:"Delay"`
+}
+
+// FaultKinds returns the kinds of faults.
+func FaultKinds() []string {
+	return []string{
+		"StoreDown", "StoreSlow", "StoreLoseReplies", "StoreHeal", "VMSilence", "VMFailFast", "VMCutAnswers",
+		"VMCloseAfterRun", "VMRefuse", "VMHeal", "VMKill", "VMRestore", "RackKill", "RackRestore",
+	}
+}
+
+func (s *Standin) serveFault(w http.ResponseWriter, r *http.Request) {
+	var fault Fault
+	err := json.NewDecoder(io.LimitReader(r.Body, 1<<16)).Decode(&fault)
+	if err == nil {
+		err = s.Inject(fault)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+}
+
+// Inject brings a fault about. Errors: NoSuchVM, BadValue.
+func (s *Standin) Inject(fault Fault) error {
+	id := apfleet.VMID(fault.Target)
+	switch fault.Kind {
+	case "StoreDown":
+		s.Store.SetFaults(StoreFaults{Down: true})
+	case "StoreSlow":
+		s.Store.SetFaults(StoreFaults{Delay: fault.Delay})
+	case "StoreLoseReplies":
+		s.Store.SetFaults(StoreFaults{LostReplies: fault.Count})
+	case "StoreHeal":
+		s.Store.SetFaults(StoreFaults{})
+	case "VMSilence":
+		return s.Fleet.Silence(id)
+	case "VMFailFast":
+		return s.Fleet.SetFaults(id, Faults{FailFast: true})
+	case "VMCutAnswers":
+		return s.Fleet.SetFaults(id, Faults{CutAnswers: true})
+	case "VMCloseAfterRun":
+		return s.Fleet.SetFaults(id, Faults{CloseAfterRun: true})
+	case "VMRefuse":
+		return s.Fleet.SetFaults(id, Faults{Refuse: true})
+	case "VMHeal":
+		return s.Fleet.SetFaults(id, Faults{})
+	case "VMKill":
+		return s.Fleet.Kill(id)
+	case "VMRestore":
+		return s.Fleet.Restore(id)
+	case "RackKill":
+		s.Fleet.KillRack(apfleet.Rack(fault.Target))
+	case "RackRestore":
+		s.Fleet.RestoreRack(apfleet.Rack(fault.Target))
+	default:
+		return apcode.Errorf(apcode.BadValue, "fault %q is none of %v", fault.Kind, FaultKinds())
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/aptrial/trial.go
@@ -0,0 +1,168 @@
+package aptrial
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"auburnport/internal/apload"
+	"auburnport/internal/apoperator"
+	"auburnport/internal/apstandin"
+	"auburnport/pkg/apsettings"
+)
+
+// Report is what a trial measured.
+type Report struct {
+	Load apload.Result `json:"Load"`
+	// SettingsInForce is how long a change of settings took to be in force at InForce of Entries.
+	SettingsInForce time.Duration `json:"SettingsInForce"`
+	InForce         int           `json:"InForce"`
+	Entries         int           `json:"Entries"`
+	// WaveDone of WaveTotal VMs were rebooted by the maintenance wave in WaveElapsed.
+	WaveDone    int           `json:"WaveDone"`
+	WaveTotal   int           `json:"WaveTotal"`
+	WaveElapsed time.Duration `json:"WaveElapsed"`
+	Moves       int           `json:"Moves"`
+	// BufferHours is the idle capacity in VM-hours.
+	BufferHours float64 `json:"BufferHours"`
+	// BudgetBreaches counts the samples in which a pool had fewer VMs than its budget.
+	BudgetBreaches int `json:"BudgetBreaches"`
+	// StoreCallsPerSecond are the calls of all entries to the store while the load ran.
+	StoreCallsPerSecond float64 `json:"StoreCallsPerSecond"`
+}
+
+const (
+	sampleEvery = 250 * time.Millisecond
+	changeAfter = 0.2
+	waveAfter   = 0.25
+	waveGrace   = 30 * time.Second
+	actionLimit = 10 * time.Second
+)
+
+// Run sends load through a cluster, changes a setting and runs a maintenance wave meanwhile.
+func (c *Cluster) Run(ctx context.Context, options apload.Options, progress io.Writer) (Report, error) {
+	options.Entries = c.CallerAddresses()
+	options.Services = c.Services()
+	load := apload.New(options)
+	var report Report
+	before := c.Standin.Report()
+	sampling, stopSampling := context.WithCancel(ctx)
+	defer stopSampling()
+	group, ctx := errgroup.WithContext(ctx)
+	var samples errgroup.Group
+	samples.Go(func() error {
+		c.sample(sampling, options, load, &report, progress)
+		return nil
+	})
+	group.Go(func() error { return load.Run(ctx) })
+	group.Go(func() error { return c.changeSettings(ctx, options.Duration, &report) })
+	group.Go(func() error { return c.wave(ctx, options.Duration, &report) })
+	err := group.Wait()
+	stopSampling()
+	_ = samples.Wait()
+	after := c.Standin.Report()
+	report.Load = load.Result(after)
+	report.Moves = after.Moves - before.Moves
+	report.StoreCallsPerSecond = float64(storeCalls(after)-storeCalls(before)) / time.Since(load.Started()).Seconds()
+	return report, err
+}
+
+func storeCalls(r apstandin.Report) uint64 {
+	return r.StoreReads + r.StoreWrites + r.StoreWatches + r.StoreLeases
+}
+
+// changeSettings changes the first service's deadline and waits until it is in force.
+func (c *Cluster) changeSettings(ctx context.Context, duration time.Duration, report *Report) error {
+	pause(ctx, time.Duration(changeAfter*float64(duration)))
+	ctx, cancel := context.WithTimeout(ctx, actionLimit)
+	defer cancel()
+	path := c.options.Settings.Services(c.options.Deployment)[0]
+	accepted, err := c.Operator(len(c.entries)-1).Change(ctx, apoperator.SettingsChange{Path: path, Key: "Deadline", Value: "1900ms", Wait: true})
+	report.SettingsInForce = accepted.Elapsed
+	report.InForce = accepted.InForce
+	report.Entries = accepted.Entries
+	return err
+}
+
+// wave starts a maintenance wave and waits until it ends, a while longer than the load at most.
+func (c *Cluster) wave(ctx context.Context, duration time.Duration, report *Report) error {
+	pause(ctx, time.Duration(waveAfter*float64(duration)))
+	operator := c.Operator(0)
+	if _, err := operator.StartWave(ctx, "trial"); err != nil {
+		return err
+	}
+	started := time.Now()
+	limit := duration - time.Duration(waveAfter*float64(duration)) + waveGrace
+	for time.Since(started) < limit && ctx.Err() == nil {
+		status, err := operator.Wave(ctx)
+		if err != nil {
+			return err
+		}
+		report.WaveDone, report.WaveTotal = status.Done, status.Total
+		report.WaveElapsed = time.Since(started)
+		if !status.Wave.Ended.IsZero() {
+			return nil
+		}
+		pause(ctx, sampleEvery)
+	}
+	return nil
+}
+
+// sample adds up idle capacity, watches budgets and tells how far the trial is.
+func (c *Cluster) sample(ctx context.Context, options apload.Options, load *apload.Load, report *Report, progress io.Writer) {
+	last := time.Now()
+	for ctx.Err() == nil {
+		pause(ctx, sampleEvery)
+		now := time.Now()
+		status := c.entries[0].Daemon.Status()
+		for _, pool := range status.Pools {
+			settings := c.options.Settings.Resolve(apsettings.PoolPath(c.options.Deployment, pool.Pool))
+			idle := max(float64(pool.Available)-float64(pool.Demand)/float64(settings.Slots), 0)
+			report.BufferHours += idle * now.Sub(last).Hours()
+			if pool.Available < pool.MinAvailable {
+				report.BudgetBreaches++
+			}
+		}
+		last = now
+		snapshot := load.Snapshot()
+		elapsed := time.Since(load.Started()).Round(time.Second)
+		_, _ = fmt.Fprintf(progress, "\r%v of %v  requests %d  answered %d  wave %d of %d ", elapsed, options.Duration, snapshot.Requests, snapshot.Answered, status.Wave.Done, status.Wave.Total)
+	}
+	_, _ = fmt.Fprintln(progress)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// Broken counts broken invariants.
+func (r Report) Broken() int { return r.Load.Broken() + r.BudgetBreaches }
+
+// Write prints a table for people.
+func (r Report) Write(out io.Writer) {
+	r.Load.Write(out)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	row := func(name string, value any) { _, _ = fmt.Fprintf(w, "%s\t%v\n", name, value) }
+	row("Settings change in force", fmt.Sprintf("%d of %d entries after %v", r.InForce, r.Entries, r.SettingsInForce.Round(time.Millisecond)))
+	row("Maintenance wave", fmt.Sprintf("%d of %d VMs in %v", r.WaveDone, r.WaveTotal, r.WaveElapsed.Round(time.Millisecond)))
+	row("Moves between pools", r.Moves)
+	row("Buffer cost", fmt.Sprintf("%.2f idle VM-hours", r.BufferHours))
+	row("Store calls", fmt.Sprintf("%.1f a second", r.StoreCallsPerSecond))
+	row("Invariant: BudgetsHold", budgetVerdict(r.BudgetBreaches))
+	row("Invariants broken", r.Broken())
+	_ = w.Flush()
+}
+
+func budgetVerdict(breaches int) string {
+	if breaches == 0 {
+		return "held"
+	}
+	return fmt.Sprintf("BROKEN in %d samples", breaches)
+}
--- /dev/null
+++ b/pkg/apcode/apcode.go
@@ -0,0 +1,171 @@
+// Package apcode defines the numbered result codes that every refusal, error and answer of
+// auburnport carries.
+package apcode
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Code is a numbered result code. The zero value means success.
+type Code uint16
+
+// Codes of the request path.
+const (
+	OK                  Code = 0
+	NoSuchService       Code = 1001
+	BadRequest          Code = 1002
+	BodyTooLarge        Code = 1003
+	QueueFull           Code = 1010
+	DeadlineUnreachable Code = 1011
+	NoInstance          Code = 1012
+	Leaving             Code = 1013
+	ClaimUnavailable    Code = 1014
+	ClaimInFlight       Code = 1015
+	ClaimSpent          Code = 1016
+	NotRunByBackend     Code = 1017
+	DeadlineExpired     Code = 1018
+	RetriesExhausted    Code = 1019
+	OutcomeUnknown      Code = 1030
+	AnswerTimeout       Code = 1031
+	AnswerCutShort      Code = 1032
+)
+
+// Codes of settings.
+const (
+	SettingsSyntax    Code = 2001
+	UnknownKey        Code = 2002
+	BadValue          Code = 2003
+	DuplicateKey      Code = 2004
+	BadAddress        Code = 2005
+	BadPath           Code = 2006
+	NoSuchNode        Code = 2007
+	SettingsConflict  Code = 2008
+	SettingsRegressed Code = 2009
+	MissingKey        Code = 2010
+)
+
+// Codes of the platform's key-value service and of leases.
+const (
+	StoreUnavailable Code = 3001
+	StoreConflict    Code = 3002
+	StoreUnknown     Code = 3003
+	ValueTooLarge    Code = 3004
+	LeaseLost        Code = 3005
+	StoreRegressed   Code = 3006
+	NotFound         Code = 3007
+)
+
+// Codes of control.
+const (
+	BudgetExceeded   Code = 4001
+	NoSuchVM         Code = 4002
+	NoSuchPool       Code = 4003
+	VMDisrupted      Code = 4004
+	WaveActive       Code = 4005
+	NoSuchWave       Code = 4006
+	StaleOperation   Code = 4007
+	PlatformFailed   Code = 4008
+	NotControlHolder Code = 4009
+	DataCentreDiffer Code = 4010
+)
+
+// Codes of the mesh between entries.
+const (
+	BadMessage      Code = 5001
+	VersionMismatch Code = 5002
+	Unauthorized    Code = 5003
+	PeerUnreachable Code = 5004
+	SendQueueFull   Code = 5005
+)
+
+// Codes of jobs and tasks.
+const (
+	JobNeverFits  Code = 6001
+	QuotaExceeded Code = 6002
+	NoSuchTask    Code = 6003
+)
+
+// InvariantBroken is the code of a measurement that found a broken promise.
+const InvariantBroken Code = 7001
+
+// Description is a row of the table of result codes.
+type Description struct {
+	// Code is unique among all descriptions.
+	Code Code
+	// Name is the code's name in Pascal case.
+	Name string
+	// Status is the HTTP status that carries the code.
+	Status int
+	// NotRun tells that the request reached no backend server, or that the backend server said it
+	// did not run it.
+	NotRun bool
+	// Meaning says what happened.
+	Meaning string
+	// Action says what the receiver should do.
+	Action string
+}
+
+// Describe returns the description of code; an unknown code is described as such with status 500.
+func Describe(code Code) Description {
+	if d, ok := byCode()[code]; ok {
+		return d
+	}
+	return Description{Code: code, Name: fmt.Sprintf("Code%d", code), Status: http.StatusInternalServerError}
+}
+
+// byCode indexes the table of result codes.
+var byCode = sync.OnceValue(func() map[Code]Description {
+	index := make(map[Code]Description)
+	for _, d := range descriptions() {
+		index[d.Code] = d
+	}
+	return index
+})
+
+// All returns every description in ascending order of code.
+func All() []Description { return descriptions() }
+
+// String returns the code's name.
+func (c Code) String() string { return Describe(c).Name }
+
+// Error is an error with a result code.
+type Error struct {
+	// Code is never OK.
+	Code Code
+	// Detail says what was wrong in this case.
+	Detail string
+}
+
+// Error returns the number, the name and the detail.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%d %s: %s", uint16(e.Code), e.Code, e.Detail)
+}
+
+// Errorf returns an Error of the given code without a stack trace.
+func Errorf(code Code, format string, args ...any) error {
+	return &Error{Code: code, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Wrapf returns cause with a result code and a message before it.
+func Wrapf(code Code, cause error, format string, args ...any) error {
+	return errors.WithSecondaryError(Errorf(code, "%s: %v", fmt.Sprintf(format, args...), cause), cause)
+}
+
+// Of returns the code that err carries, OK for nil, and BadMessage for an error without a code.
+func Of(err error) Code {
+	if err == nil {
+		return OK
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return BadMessage
+}
+
+// Is reports whether err carries code.
+func Is(err error, code Code) bool { return err != nil && Of(err) == code }
--- /dev/null
+++ b/pkg/apstore/apstore.go
@@ -0,0 +1,77 @@
+// Package apstore is the client side of the platform's key-value service: compare-and-swap, leases
+// and watches, and a client that settles writes whose reply was lost.
+package apstore
+
+import (
+	"context"
+	"time"
+
+	"auburnport/pkg/apfleet"
+)
+
+// MaxValueBytes is the largest value that the store accepts.
+const MaxValueBytes = 1 << 20
+
+// Store is a small key-value store with compare-and-swap, leases and watches.
+type Store interface {
+	// Get returns the value of a key; an absent key has revision 0. Errors: StoreUnavailable.
+	Get(ctx context.Context, key apfleet.Key) (Value, error)
+	// List returns the values whose key starts with prefix, and the store's revision.
+	// Errors: StoreUnavailable.
+	List(ctx context.Context, prefix apfleet.Key) (Page, error)
+	// Swap writes a value when the key's revision is the expected one; 0 means absent.
+	// Errors: StoreConflict, StoreUnavailable (no effect), StoreUnknown (effect unknown),
+	// ValueTooLarge, LeaseLost.
+	Swap(ctx context.Context, write Write) (Revision, error)
+	// Watch waits until a value under prefix has a revision above after, and returns all such
+	// values; it returns an empty page when wait has passed. Errors: StoreUnavailable.
+	Watch(ctx context.Context, prefix apfleet.Key, after Revision, wait time.Duration) (Page, error)
+	// Grant returns a new lease that lapses unless renewed within ttl.
+	// Errors: StoreUnavailable, StoreUnknown.
+	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// Renew extends a lease by its ttl. Errors: LeaseLost, StoreUnavailable, StoreUnknown.
+	Renew(ctx context.Context, lease LeaseID) error
+	// Revoke ends a lease and deletes the keys attached to it. Errors: as Renew.
+	Revoke(ctx context.Context, lease LeaseID) error
+}
+
+// Revision orders all writes of the store. It never falls.
+type Revision uint64
+
+// LeaseID names a lease; 0 means none.
+type LeaseID uint64
+
+// Value is a value with its key and the revision of its last write.
+type Value struct {
+	Key apfleet.Key `cbor:"Key"`
+	// Revision is 0 when the key is absent.
+	Revision Revision `cbor:"Revision"`
+	Data     []byte   `cbor:"Data"`
+}
+
+// Check accepts every value.
+func (v Value) Check() error { return nil }
+
+// Page is an answer to List or Watch.
+type Page struct {
+	// Revision is the store's revision at the time of the answer.
+	Revision Revision `cbor:"Revision"`
+	Values   []Value  `cbor:"Values"`
+}
+
+// Check accepts every page.
+func (p Page) Check() error { return nil }
+
+// Write is a conditional write.
+type Write struct {
+	Key apfleet.Key `cbor:"Key"`
+	// Data is at most MaxValueBytes long.
+	Data []byte `cbor:"Data"`
+	// Expected is the revision that the key must have.
+	Expected Revision `cbor:"Expected"`
+	// Lease deletes the key when it lapses; 0 keeps the key for good.
+	Lease LeaseID `cbor:"Lease"`
+}
+
+// Check accepts every write.
+func (w Write) Check() error { return nil }
