--- a/internal/apdaemon/handlers.go
+++ b/internal/apdaemon/handlers.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/negroni/v3"
 
@@ -50,7 +51,7 @@
 	if cause == nil {
 		return
 	}
-	if cause == http.ErrAbortHandler {
+	if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
 		panic(cause)
 	}
 	d.logger.WithFields(logrus.Fields{"Event": "Panic", "Path": r.URL.Path, "Cause": cause}).Error()
--- a/internal/apdaemon/providers.go
+++ b/internal/apdaemon/providers.go
@@ -4,7 +4,6 @@
 	"os"
 	"time"
 
-	"github.com/google/wire"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
@@ -26,15 +25,6 @@
 
 const storeTimeout = 2 * time.Second
 
-// providers composes a Daemon.
-var providers = wire.NewSet(
-	newSelf, metrics.NewRegistry, newStore, newStoreClient, newPlatform, NewState, newClaimant, newEntry,
-	newNode, newLease, newControl, NewExecutor, newToken, newInitial, newDaemon,
-	wire.Bind(new(applatform.Lister), new(*platformhttp.Platform)),
-	wire.Bind(new(applatform.Pools), new(*platformhttp.Platform)),
-	wire.Bind(new(apentry.Claimer), new(*apclaimant.Claimant)),
-)
-
 // Variant selects interchangeable parts.
 type Variant struct {
 	Strategy aproute.Strategy
--- a/internal/apdaemon/wire_gen.go
+++ b/internal/apdaemon/wire_gen.go
@@ -7,6 +7,11 @@
 package apdaemon
 
 import (
+	"auburnport/internal/apclaimant"
+	"auburnport/internal/apentry"
+	"auburnport/internal/applatform"
+	"auburnport/internal/applatform/http"
+	"github.com/google/wire"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 )
@@ -42,3 +47,11 @@
 	daemon := newDaemon(config, registration, logger, registry, store, client, platform, state, claimant, entry, node, lease, control, executor, token, tree, bound)
 	return daemon, nil
 }
+
+// wire.go:
+
+// providers composes a Daemon.
+var providers = wire.NewSet(
+	newSelf, metrics.NewRegistry, newStore, newStoreClient, newPlatform, NewState, newClaimant, newEntry,
+	newNode, newLease, newControl, NewExecutor, newToken, newInitial, newDaemon, wire.Bind(new(applatform.Lister), new(*http.Platform)), wire.Bind(new(applatform.Pools), new(*http.Platform)), wire.Bind(new(apentry.Claimer), new(*apclaimant.Claimant)),
+)
--- a/internal/apentry/forward.go
+++ b/internal/apentry/forward.go
@@ -114,29 +114,42 @@
 func (notRun) attemptResult()   {}
 func (unknown) attemptResult()  {}
 
-// attempt sends the request once. The caller is answered at the deadline; the attempt itself goes on
-// for the service's Linger, so that the slot and the claim follow what really happens.
+// attempt sends the request once. The caller waits for its answer until the deadline, and in the case
+// of an idempotent request for AttemptTimeout at most. The exchange itself goes on for the service's
+// Linger, so that the slot and the claim follow what really happens at the instance.
 func (e *Entry) attempt(ctx context.Context, g *gate, q *request, dispatch aproute.Dispatch, grant Grant) attemptResult {
+	patience := time.Until(q.deadline)
 	if q.idempotent {
-		limit := min(time.Until(q.deadline), q.settings.AttemptTimeout)
-		return e.send(context.WithoutCancel(ctx), g, q, dispatch, nil, limit)
+		patience = min(patience, q.settings.AttemptTimeout)
 	}
 	done := make(chan attemptResult, 1)
-	limit := time.Until(q.deadline) + q.settings.Linger
 	e.group.Go(func() error {
-		done <- e.send(context.WithoutCancel(ctx), g, q, dispatch, grant, limit)
+		done <- e.send(context.WithoutCancel(ctx), g, q, dispatch, grant, patience+q.settings.Linger)
 		return nil
 	})
-	timer := time.NewTimer(time.Until(q.deadline))
+	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	select {
 	case result := <-done:
 		return result
 	case <-timer.C:
-		return unknown{code: apcode.AnswerTimeout, detail: "no answer within the deadline"}
+		e.discard(done)
+		g.suspect(dispatch.Instance)
+		e.backends.suspect(dispatch.Instance)
+		return unknown{code: apcode.AnswerTimeout, detail: "no answer in time"}
 	}
 }
 
+// discard ends an answer for which nobody waits any more.
+func (e *Entry) discard(done <-chan attemptResult) {
+	e.group.Go(func() error {
+		if a, ok := (<-done).(answered); ok && a.answer.rest != nil {
+			a.answer.end(context.Canceled)
+		}
+		return nil
+	})
+}
+
 // send makes the exchange with one instance, frees its slot and settles the claim.
 func (e *Entry) send(ctx context.Context, g *gate, q *request, dispatch aproute.Dispatch, grant Grant, limit time.Duration) attemptResult {
 	started := time.Now()
@@ -147,29 +160,22 @@
 		cancel()
 		g.finish(aproute.Attempt{Instance: dispatch.Instance, Outcome: outcome, Elapsed: time.Since(started)})
 	}
-	switch result := exchange.result.(type) {
-	case answered:
-		settle(grant, result.answer)
-		if result.answer.rest == nil {
-			finish(exchange.outcome)
-			return e.judge(q, result)
-		}
-		inner := result.answer.end
-		result.answer.end = func(err error) {
-			inner(err)
-			finish(streamOutcome(err))
-		}
-		return result
-	case unknown:
+	result, ok := exchange.result.(answered)
+	if !ok {
 		finish(exchange.outcome)
-		if q.idempotent && result.code == apcode.AnswerTimeout {
-			e.backends.suspect(dispatch.Instance)
-		}
-		return result
-	default:
+		return exchange.result
+	}
+	settle(grant, result.answer)
+	if result.answer.rest == nil {
 		finish(exchange.outcome)
-		return result
+		return e.judge(q, result)
+	}
+	inner := result.answer.end
+	result.answer.end = func(err error) {
+		inner(err)
+		finish(streamOutcome(err))
 	}
+	return result
 }
 
 // settle records the answer of a claimed request.
--- a/internal/apentry/gate.go
+++ b/internal/apentry/gate.go
@@ -117,3 +117,11 @@
 	defer g.mu.Unlock()
 	return g.balancer.AllowRetry()
 }
+
+// suspect records that an instance did not answer in time.
+func (g *gate) suspect(id apfleet.VMID) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.Suspect(now, id)
+}
--- a/internal/apstandin/server.go
+++ b/internal/apstandin/server.go
@@ -119,28 +119,17 @@
 
 // Inject brings a fault about. Errors: NoSuchVM, BadValue.
 func (s *Standin) Inject(fault Fault) error {
+	if faults, ok := storeFaults(fault); ok {
+		s.Store.SetFaults(faults)
+		return nil
+	}
 	id := apfleet.VMID(fault.Target)
+	if faults, ok := vmFaults(fault.Kind); ok {
+		return s.Fleet.SetFaults(id, faults)
+	}
 	switch fault.Kind {
-	case "StoreDown":
-		s.Store.SetFaults(StoreFaults{Down: true})
-	case "StoreSlow":
-		s.Store.SetFaults(StoreFaults{Delay: fault.Delay})
-	case "StoreLoseReplies":
-		s.Store.SetFaults(StoreFaults{LostReplies: fault.Count})
-	case "StoreHeal":
-		s.Store.SetFaults(StoreFaults{})
 	case "VMSilence":
 		return s.Fleet.Silence(id)
-	case "VMFailFast":
-		return s.Fleet.SetFaults(id, Faults{FailFast: true})
-	case "VMCutAnswers":
-		return s.Fleet.SetFaults(id, Faults{CutAnswers: true})
-	case "VMCloseAfterRun":
-		return s.Fleet.SetFaults(id, Faults{CloseAfterRun: true})
-	case "VMRefuse":
-		return s.Fleet.SetFaults(id, Faults{Refuse: true})
-	case "VMHeal":
-		return s.Fleet.SetFaults(id, Faults{})
 	case "VMKill":
 		return s.Fleet.Kill(id)
 	case "VMRestore":
@@ -154,3 +143,37 @@
 	}
 	return nil
 }
+
+// storeFaults returns the faults of the store that a kind stands for.
+func storeFaults(fault Fault) (StoreFaults, bool) {
+	switch fault.Kind {
+	case "StoreDown":
+		return StoreFaults{Down: true}, true
+	case "StoreSlow":
+		return StoreFaults{Delay: fault.Delay}, true
+	case "StoreLoseReplies":
+		return StoreFaults{LostReplies: fault.Count}, true
+	case "StoreHeal":
+		return StoreFaults{}, true
+	default:
+		return StoreFaults{}, false
+	}
+}
+
+// vmFaults returns the faults of a VM that a kind stands for.
+func vmFaults(kind string) (Faults, bool) {
+	switch kind {
+	case "VMFailFast":
+		return Faults{FailFast: true}, true
+	case "VMCutAnswers":
+		return Faults{CutAnswers: true}, true
+	case "VMCloseAfterRun":
+		return Faults{CloseAfterRun: true}, true
+	case "VMRefuse":
+		return Faults{Refuse: true}, true
+	case "VMHeal":
+		return Faults{}, true
+	default:
+		return Faults{}, false
+	}
+}
--- a/pkg/apcontrol/disruption.go
+++ b/pkg/apcontrol/disruption.go
@@ -135,8 +135,7 @@
 		if entry.State > apmesh.MemberSuspect {
 			continue
 		}
-		clear := obeysDisruption(entry, row)
-		if !clear {
+		if !obeysDisruption(entry, row) {
 			return false
 		}
 		obeys[entry.Name] = true
--- a/pkg/apcontrol/wave.go
+++ b/pkg/apcontrol/wave.go
@@ -40,7 +40,7 @@
 	if row, ok := v.overdue(); ok {
 		return []Intent{PauseWave{Reason: fmt.Sprintf("%s did not come back", row.VM)}}
 	}
-	progress := WaveProgress(wave, v.Tables.VMs)
+	progress := WaveProgress(wave, v.VMs)
 	open := v.openReboots()
 	if progress.Done == progress.Total && len(open) == 0 {
 		return []Intent{EndWave{}}
--- a/pkg/apmesh/node.go
+++ b/pkg/apmesh/node.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/coder/websocket"
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
@@ -30,13 +31,15 @@
 	group     *errgroup.Group
 	client    *http.Client
 	nonces    *nonceCache
+	pulls     chan apfleet.EntryName
 
 	mu         sync.Mutex
-	ctx        context.Context
 	membership *Membership
 	peers      map[apfleet.EntryName]*peer
 	report     func() Report
 	stopped    bool
+	// accepted holds the connections that peers opened.
+	accepted map[*websocket.Conn]context.CancelFunc
 }
 
 // New returns a Node that is not connected yet.
@@ -55,6 +58,8 @@
 		nonces:     newNonceCache(),
 		membership: NewMembership(self, opts...),
 		peers:      make(map[apfleet.EntryName]*peer),
+		accepted:   make(map[*websocket.Conn]context.CancelFunc),
+		pulls:      make(chan apfleet.EntryName, 1),
 		report:     func() Report { return Report{} },
 	}
 }
@@ -71,10 +76,11 @@
 	group, ctx := errgroup.WithContext(ctx)
 	n.mu.Lock()
 	n.group = group
-	n.ctx = ctx
 	n.mu.Unlock()
 	group.Go(func() error { return n.beat(ctx) })
 	group.Go(func() error { return n.seed(ctx) })
+	group.Go(func() error { return n.pullLoop(ctx) })
+	defer context.AfterFunc(ctx, n.cancelAccepted)()
 	return group.Wait()
 }
 
@@ -189,7 +195,7 @@
 	ticker := time.NewTicker(n.options.HeartbeatEvery)
 	defer ticker.Stop()
 	for {
-		n.tick(time.Now())
+		n.tick(ctx, time.Now())
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -198,10 +204,10 @@
 	}
 }
 
-func (n *Node) tick(now time.Time) {
+func (n *Node) tick(ctx context.Context, now time.Time) {
 	n.mu.Lock()
 	n.membership.Tick(now)
-	n.connect()
+	n.connect(ctx)
 	stopped := n.stopped
 	n.mu.Unlock()
 	if stopped {
@@ -234,7 +240,7 @@
 }
 
 // connect starts a peer for each known entry and stops those of entries that are forgotten or left.
-func (n *Node) connect() {
+func (n *Node) connect(ctx context.Context) {
 	wanted := make(map[apfleet.EntryName]apfleet.Registration)
 	for _, member := range n.membership.Known() {
 		if member.State != MemberLeft {
@@ -253,7 +259,7 @@
 		}
 		p := newPeer(n, registration)
 		n.peers[name] = p
-		n.group.Go(func() error { return p.run(n.ctx) })
+		n.group.Go(func() error { return p.run(ctx) })
 	}
 }
 
--- a/pkg/apmesh/peer.go
+++ b/pkg/apmesh/peer.go
@@ -38,7 +38,6 @@
 	mu       sync.Mutex
 	nextCall uint64
 	waiting  map[uint64]chan Message
-	pulling  bool
 }
 
 func newPeer(n *Node, registration apfleet.Registration) *peer {
@@ -255,20 +254,3 @@
 	defer p.mu.Unlock()
 	delete(p.waiting, call)
 }
-
-// startPull reports whether no other pull from this peer is under way.
-func (p *peer) startPull() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.pulling {
-		return false
-	}
-	p.pulling = true
-	return true
-}
-
-func (p *peer) endPull() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.pulling = false
-}
--- a/pkg/apmesh/server.go
+++ b/pkg/apmesh/server.go
@@ -36,10 +36,12 @@
 
 // serve answers frames in the order in which they arrive.
 func (n *Node) serve(ctx context.Context, conn *websocket.Conn, from apfleet.EntryName) {
-	stopped := n.runContext()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer context.AfterFunc(stopped, cancel)()
+	n.mu.Lock()
+	n.accepted[conn] = cancel
+	n.mu.Unlock()
+	defer n.forget(conn)
 	for {
 		readCtx, cancelRead := context.WithTimeout(ctx, n.options.DeadAfter)
 		_, data, err := conn.Read(readCtx)
@@ -65,13 +67,19 @@
 	}
 }
 
-func (n *Node) runContext() context.Context {
+func (n *Node) forget(conn *websocket.Conn) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.ctx == nil {
-		return context.Background()
+	delete(n.accepted, conn)
+}
+
+// cancelAccepted ends the connections that peers opened.
+func (n *Node) cancelAccepted() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, cancel := range n.accepted {
+		cancel()
 	}
-	return n.ctx
 }
 
 func (n *Node) writeReply(ctx context.Context, conn *websocket.Conn, data []byte) error {
@@ -123,26 +131,39 @@
 func (n *Node) heard(beat Heartbeat) {
 	n.mu.Lock()
 	n.membership.Heard(time.Now(), beat)
-	group := n.group
-	running := n.ctx != nil && n.ctx.Err() == nil
 	n.mu.Unlock()
-	if !running || beat.Digest == n.documents.summary() {
-		return
+	if beat.Digest != n.documents.summary() {
+		n.requestPull(beat.From.Name)
+	}
+}
+
+// requestPull asks the puller for a peer's documents, unless it has enough to do.
+func (n *Node) requestPull(from apfleet.EntryName) {
+	select {
+	case n.pulls <- from:
+	default:
+	}
+}
+
+// pullLoop fetches documents from one peer at a time.
+func (n *Node) pullLoop(ctx context.Context) error {
+	for {
+		select {
+		case from := <-n.pulls:
+			n.pull(ctx, from)
+		case <-ctx.Done():
+			return nil
+		}
 	}
-	group.Go(func() error {
-		n.pull(beat.From.Name)
-		return nil
-	})
 }
 
 // pull fetches the documents that are newer at a peer.
-func (n *Node) pull(from apfleet.EntryName) {
+func (n *Node) pull(ctx context.Context, from apfleet.EntryName) {
 	p, err := n.peer(from)
-	if err != nil || !p.startPull() {
+	if err != nil {
 		return
 	}
-	defer p.endPull()
-	reply, err := p.call(n.runContext(), Revisions{Rows: n.documents.revisions()})
+	reply, err := p.call(ctx, Revisions{Rows: n.documents.revisions()})
 	if err != nil {
 		return
 	}
--- a/pkg/aproute/aproute.go
+++ b/pkg/aproute/aproute.go
@@ -100,9 +100,12 @@
 	inFlight  int
 	share     int
 	retries   retryBudget
-	service   time.Duration
+	service   serviceTime
 	cursor    int
 	available int
+	// drain is the moving average of the time between two dispatches from the queue.
+	drain     time.Duration
+	drainedAt time.Time
 }
 
 // row is an instance with its load and health.
@@ -125,7 +128,7 @@
 		options: options,
 		random:  rand.New(rand.NewPCG(options.Seed, options.Seed)),
 		index:   make(map[apfleet.VMID]int),
-		service: options.InitialServiceTime,
+		service: serviceTime{mean: options.InitialServiceTime},
 		share:   unlimited,
 	}
 }
@@ -191,7 +194,7 @@
 func (b *Balancer) Waiting() int { return b.queue.length }
 
 // ServiceTime returns the moving average of an attempt's duration.
-func (b *Balancer) ServiceTime() time.Duration { return b.service }
+func (b *Balancer) ServiceTime() time.Duration { return b.service.mean }
 
 // Submit implements Router.
 func (b *Balancer) Submit(now time.Time, ticket *Ticket) Decision {
@@ -209,7 +212,7 @@
 	if b.queue.length >= b.options.Limits.QueueLimit {
 		return Refuse{Code: apcode.QueueFull, RetryAfter: b.expectedWait()}
 	}
-	if now.Add(b.expectedWait() + b.service).After(ticket.Deadline) {
+	if now.Add(b.expectedWait() + b.service.tail()).After(ticket.Deadline) {
 		return Refuse{Code: apcode.DeadlineUnreachable, RetryAfter: b.expectedWait()}
 	}
 	b.queue.push(ticket)
@@ -219,6 +222,13 @@
 // AllowRetry takes a retry from the budget, which is a share of the live requests.
 func (b *Balancer) AllowRetry() bool { return b.retries.take() }
 
+// Suspect records the failure of an attempt that is still under way and keeps its slot.
+func (b *Balancer) Suspect(now time.Time, id apfleet.VMID) {
+	if i, ok := b.index[id]; ok {
+		b.fail(now, &b.rows[i])
+	}
+}
+
 // Finish implements Router.
 func (b *Balancer) Finish(now time.Time, attempt Attempt) {
 	i, ok := b.index[attempt.Instance]
@@ -230,7 +240,7 @@
 	b.inFlight--
 	switch attempt.Outcome {
 	case Succeeded:
-		b.service += (attempt.Elapsed - b.service) / serviceTimeWeight
+		b.service.add(attempt.Elapsed)
 		r.health.succeed(now)
 	case Failed:
 		b.fail(now, r)
@@ -246,7 +256,7 @@
 		if ticket == nil {
 			return
 		}
-		if now.Add(b.service / 2).After(ticket.Deadline) {
+		if now.Add(b.service.mean).After(ticket.Deadline) {
 			b.queue.pop()
 			ticket.Notify(Refuse{Code: apcode.DeadlineExpired, RetryAfter: b.expectedWait()})
 			continue
@@ -256,10 +266,22 @@
 			return
 		}
 		b.queue.pop()
+		b.observeDrain(now)
 		ticket.Notify(dispatch)
 	}
 }
 
+// observeDrain measures how fast the queue moves while requests wait.
+func (b *Balancer) observeDrain(now time.Time) {
+	if !b.drainedAt.IsZero() {
+		b.drain += (now.Sub(b.drainedAt) - b.drain) / serviceTimeWeight
+	}
+	b.drainedAt = now
+	if b.queue.length == 0 {
+		b.drainedAt = time.Time{}
+	}
+}
+
 // Cancel removes a waiting request and reports whether it was still waiting.
 func (b *Balancer) Cancel(ticket *Ticket) bool { return b.queue.remove(ticket) }
 
@@ -296,5 +318,26 @@
 	if lanes < 1 {
 		lanes = 1
 	}
-	return time.Duration(b.queue.length+1) * b.service / time.Duration(lanes)
+	perTurn := max(b.service.mean/time.Duration(lanes), b.drain)
+	return perTurn * time.Duration(b.queue.length+1)
+}
+
+// serviceTime is the moving average of an attempt's duration and of its deviation.
+type serviceTime struct {
+	mean, deviation time.Duration
+	// samples counts up to serviceTimeWeight, so that the first answers replace the initial estimate.
+	samples time.Duration
 }
+
+func (s *serviceTime) add(elapsed time.Duration) {
+	s.samples = min(s.samples+1, serviceTimeWeight)
+	difference := elapsed - s.mean
+	s.mean += difference / s.samples
+	s.deviation += (difference.Abs() - s.deviation) / s.samples
+	if s.samples == 1 {
+		s.deviation = elapsed / 2
+	}
+}
+
+// tail is a duration that few attempts exceed.
+func (s *serviceTime) tail() time.Duration { return s.mean + tailDeviations*s.deviation }
--- a/pkg/aproute/options.go
+++ b/pkg/aproute/options.go
@@ -8,6 +8,7 @@
 const (
 	unlimited         = math.MaxInt
 	serviceTimeWeight = 16
+	tailDeviations    = 3
 )
 
 // Limits are the settings of a service that a Balancer obeys.
--- a/pkg/aproute/strategy.go
+++ b/pkg/aproute/strategy.go
@@ -141,15 +141,16 @@
 	}
 }
 
-// SetShare bounds this entry's requests in flight to its fair share of the service's slots, given
-// the demand of every other entry.
+// SetShare bounds this entry's requests in flight, given the demand of every other entry.
 func (b *Balancer) SetShare(others []int) {
 	slots := b.usable() * b.options.Limits.Slots
 	b.share = FairShare(slots, b.Demand(), others)
 }
 
-// FairShare returns the max-min fair share of slots for an entry with the given own demand. When
-// all demands fit, the share is all that others leave.
+// FairShare returns how many of the slots an entry with the given own demand may use. When the
+// demands do not fit, that is the max-min fair share. When they fit, it is the entry's demand and an
+// even part of what is left: the entries together never take more than there is, even if demand
+// rises at all of them before they hear of each other.
 func FairShare(slots, own int, others []int) int {
 	demands := append([]int{own}, others...)
 	slices.Sort(demands)
@@ -161,7 +162,7 @@
 		}
 		left -= demand
 	}
-	return max(left+own, 1)
+	return max(own+left/len(demands), 1)
 }
 
 // SetMembers gives each slot to one of the entries under the strategy OwnedSlots.
