Claims by majority of three registered owners; control survives its holder's death

Cause: the property test of claims found a double run: a claimant that wrongly took an owner for dead recorded its claim at two others, both of which restarted before another claimant had seen them. Ruled out: a longer window, and asking more of the local history; local suspicion is no agreement. Change: owners come from the registry in the store, whose former views are kept for the window; a claim needs 2 of 3 owners, and of each former view so many that one of them knows. An owner refuses a claimant with an older registry. Conclusion: one dead owner costs no claim; two dead of three are refused, not run twice.

--- a/internal/apclaimant/apclaimant.go
+++ b/internal/apclaimant/apclaimant.go
@@ -24,7 +24,9 @@
 const (
 	askAgainAfter = 50 * time.Millisecond
 	// answerMargin is the time left to a caller when waiting for another run of its request ends.
-	answerMargin  = 50 * time.Millisecond
+	answerMargin = 50 * time.Millisecond
+	// ownerTimeout is how long one owner is awaited before the next one is asked.
+	ownerTimeout  = 300 * time.Millisecond
 	handoverRows  = 256
 	defaultWindow = 10 * time.Minute
 )
@@ -32,85 +34,71 @@
 // Claimant is an owner of request ids and claims ids for this entry. It implements apentry.Claimer
 // and apmesh.Handler.
 type Claimant struct {
-	self apclaim.Member
+	self apfleet.Member
 
-	mu      sync.Mutex
-	mesh    Mesh
-	table   *apclaim.Table
-	views   apclaim.Views
-	window  time.Duration
-	leaving bool
+	mu       sync.Mutex
+	mesh     Mesh
+	table    *apclaim.Table
+	registry apfleet.Registry
+	window   time.Duration
+	leaving  bool
 }
 
 // New returns a Claimant that is not attached to a mesh yet.
 func New(self apfleet.Registration) *Claimant {
-	return &Claimant{
-		self:   apclaim.Member{Name: self.Name, Incarnation: self.Incarnation},
-		table:  apclaim.New(),
-		window: defaultWindow,
-	}
+	return &Claimant{self: self.Member(), table: apclaim.New(), window: defaultWindow}
 }
 
-// Attach sets the mesh. earlier holds the entries that were registered before this one: they may
-// know of ids that were claimed before.
-func (c *Claimant) Attach(mesh Mesh, earlier []apfleet.Registration) {
+// Attach sets the mesh. Until then no id is claimed or granted.
+func (c *Claimant) Attach(mesh Mesh) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.mesh = mesh
-	members := make([]apclaim.Member, 0, len(earlier))
-	for _, e := range earlier {
-		members = append(members, apclaim.Member{Name: e.Name, Incarnation: e.Incarnation})
-	}
-	if len(members) > 0 {
-		c.views.Observe(time.Now(), members, c.window)
+}
+
+// SetRegistry sets the table of entries, unless a newer one is known.
+func (c *Claimant) SetRegistry(registry apfleet.Registry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if registry.Sequence > c.registry.Sequence {
+		c.registry = registry
 	}
 }
 
-// SetWindow sets how long views are remembered: at least as long as any id.
+// SetWindow sets how long ids and former views are remembered.
 func (c *Claimant) SetWindow(window time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.window = window
 }
 
-// Observe records the present members.
-func (c *Claimant) Observe(now time.Time) {
+func (c *Claimant) plan(id apclaim.ID) apclaim.Plan {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.observe(now)
-}
-
-func (c *Claimant) observe(now time.Time) {
-	if c.mesh == nil {
-		return
-	}
-	present := c.mesh.Members()
-	members := make([]apclaim.Member, 0, len(present))
-	for _, m := range present {
-		members = append(members, apclaim.Member{Name: m.Name, Incarnation: m.Incarnation})
-	}
-	c.views.Observe(now, members, c.window)
+	return apclaim.NewPlan(time.Now(), c.registry, id, c.window)
 }
 
-func (c *Claimant) plan(id apclaim.ID) apclaim.Plan {
+func (c *Claimant) attached() Mesh {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
-	c.observe(now)
-	return c.views.Plan(now, id, c.window)
+	return c.mesh
 }
 
 // Claim implements apentry.Claimer.
 func (c *Claimant) Claim(ctx context.Context, request apentry.ClaimRequest) apentry.ClaimResult {
-	claim := apmesh.Claim{Request: apclaim.Request{ID: request.ID, Token: apclaim.Token(rand.Text()), Window: request.Window}}
+	mesh := c.attached()
+	if mesh == nil {
+		return apentry.ClaimRefused{Code: apcode.ClaimUnavailable, Detail: "this entry has not joined yet"}
+	}
+	claim := apclaim.Request{ID: request.ID, Token: apclaim.Token(rand.Text()), Window: request.Window}
 	for {
 		plan := c.plan(request.ID)
-		asked := c.ask(ctx, plan, claim, request.Deadline)
-		result := c.conclude(plan, claim, asked)
+		asked := ask(ctx, mesh, plan, claim, request.Deadline)
+		result := c.conclude(mesh, plan, claim, asked)
 		if result != nil {
 			return result
 		}
-		c.release(claim, plan.Ask)
+		release(mesh, plan, claim)
 		if time.Now().Add(answerMargin + askAgainAfter).After(request.Deadline) {
 			return asked.refusal()
 		}
@@ -124,10 +112,10 @@
 
 // asked is what the owners replied.
 type asked struct {
-	granted []apclaim.Member
+	granted []apfleet.Member
+	silent  []apfleet.Member
 	denial  apmesh.VerdictKind
 	answer  apclaim.Answer
-	missing apfleet.EntryName
 }
 
 // refusal ends a claim that could not be decided in time.
@@ -135,84 +123,98 @@
 	if a.denial == apmesh.VerdictInFlight {
 		return apentry.ClaimRefused{Code: apcode.ClaimInFlight, Detail: "the request is being run"}
 	}
-	return apentry.ClaimRefused{Code: apcode.ClaimUnavailable, Detail: "owner " + string(a.missing) + " did not vouch for the id"}
+	return apentry.ClaimRefused{Code: apcode.ClaimUnavailable, Detail: "too few owners vouched for the id"}
 }
 
-// ask claims the id at one owner after the other, in the same order as every other claimant. After a
-// denial the rest are still asked, because one of them may know the answer.
-func (c *Claimant) ask(ctx context.Context, plan apclaim.Plan, claim apmesh.Claim, deadline time.Time) asked {
+// ask claims the id at one owner after the other, in the same order as every other claimant, until
+// enough have granted it. After a denial the rest are still asked, because one of them may know the
+// answer.
+func ask(ctx context.Context, mesh Mesh, plan apclaim.Plan, claim apclaim.Request, deadline time.Time) asked {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	var result asked
-	for _, member := range plan.Ask {
-		reply, err := c.mesh.Call(ctx, member.Name, claim)
-		verdict, ok := reply.(apmesh.Verdict)
-		if err != nil || !ok {
-			result.missing = member.Name
-			continue
+	for {
+		member, ok := plan.Next(result.granted, result.silent)
+		if !ok {
+			return result
 		}
-		switch verdict.Kind {
-		case apmesh.VerdictGranted:
+		verdict, err := askOwner(ctx, mesh, apmesh.Claim{Request: claim, Owner: member, Sequence: plan.Sequence})
+		switch {
+		case err != nil:
+			result.silent = append(result.silent, member)
+		case verdict.Kind == apmesh.VerdictGranted:
 			result.granted = append(result.granted, member)
-		case apmesh.VerdictAnswered:
+		case verdict.Kind == apmesh.VerdictAnswered:
 			result.denial = verdict.Kind
 			result.answer = verdict.Answer
 			return result
 		default:
 			result.denial = max(result.denial, verdict.Kind)
+			result.silent = append(result.silent, member)
 		}
 	}
-	return result
+}
+
+func askOwner(ctx context.Context, mesh Mesh, claim apmesh.Claim) (apmesh.Verdict, error) {
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	reply, err := mesh.Call(ctx, claim.Owner.Name, claim)
+	if err != nil {
+		return apmesh.Verdict{}, err
+	}
+	verdict, ok := reply.(apmesh.Verdict)
+	if !ok {
+		return verdict, apcode.Errorf(apcode.BadMessage, "%T is not a verdict", reply)
+	}
+	return verdict, nil
 }
 
 // conclude returns nil when the owners have to be asked again.
-func (c *Claimant) conclude(plan apclaim.Plan, claim apmesh.Claim, asked asked) apentry.ClaimResult {
+func (c *Claimant) conclude(mesh Mesh, plan apclaim.Plan, claim apclaim.Request, asked asked) apentry.ClaimResult {
 	switch asked.denial {
 	case apmesh.VerdictAnswered:
-		c.release(claim, plan.Ask)
+		release(mesh, plan, claim)
 		return apentry.Repeated{Answer: asked.answer}
 	case apmesh.VerdictSpent:
-		c.release(claim, plan.Ask)
+		release(mesh, plan, claim)
 		return apentry.ClaimRefused{Code: apcode.ClaimSpent, Detail: "the request ran before"}
 	case apmesh.VerdictInFlight:
 		return nil
 	default:
 	}
-	if !plan.Possible {
-		c.release(claim, plan.Ask)
-		return apentry.ClaimRefused{Code: apcode.ClaimUnavailable, Detail: "every entry that could know of the id is gone"}
-	}
 	if plan.Enough(asked.granted) {
-		return apentry.Claimed{Grant: &grant{claimant: c, claim: claim, owners: asked.granted}}
+		return apentry.Claimed{Grant: &grant{claimant: c, mesh: mesh, claim: claim, plan: plan}}
 	}
 	return nil
 }
 
-func (c *Claimant) release(claim apmesh.Claim, owners []apclaim.Member) {
-	for _, owner := range owners {
-		_ = c.mesh.Send(owner.Name, apmesh.Release{ID: claim.Request.ID, Token: claim.Request.Token})
+// release forgets the claim at everybody who may have granted it.
+func release(mesh Mesh, plan apclaim.Plan, claim apclaim.Request) {
+	for _, owner := range plan.Members() {
+		_ = mesh.Send(owner.Name, apmesh.Release{ID: claim.ID, Token: claim.Token})
 	}
 }
 
 // grant implements apentry.Grant.
 type grant struct {
 	claimant *Claimant
-	claim    apmesh.Claim
-	owners   []apclaim.Member
+	mesh     Mesh
+	claim    apclaim.Request
+	plan     apclaim.Plan
 }
 
-// Complete implements apentry.Grant. The answer goes to the owners that granted and to those of now.
+// Complete implements apentry.Grant. The answer goes to the owners of the claim and to those of now.
 func (g *grant) Complete(answer apclaim.Answer) {
-	message := apmesh.Complete{ID: g.claim.Request.ID, Token: g.claim.Request.Token, Answer: answer}
+	message := apmesh.Complete{ID: g.claim.ID, Token: g.claim.Token, Answer: answer}
 	told := make(map[apfleet.EntryName]struct{})
-	for _, owner := range append(g.owners, g.claimant.plan(message.ID).Ask...) {
+	for _, owner := range append(g.plan.Members(), g.claimant.plan(message.ID).Members()...) {
 		if _, ok := told[owner.Name]; ok {
 			continue
 		}
 		told[owner.Name] = struct{}{}
-		_ = g.claimant.mesh.Send(owner.Name, message)
+		_ = g.mesh.Send(owner.Name, message)
 	}
 }
 
 // Release implements apentry.Grant.
-func (g *grant) Release() { g.claimant.release(g.claim, g.owners) }
+func (g *grant) Release() { release(g.mesh, g.plan, g.claim) }
--- a/internal/apclaimant/owner.go
+++ b/internal/apclaimant/owner.go
@@ -17,8 +17,8 @@
 	now := time.Now()
 	switch m := message.(type) {
 	case apmesh.Claim:
-		if c.leaving {
-			return nil, apcode.Errorf(apcode.Leaving, "claims are being handed over")
+		if err := c.mayGrant(m); err != nil {
+			return nil, err
 		}
 		return toMessage(c.table.Claim(now, m.Request)), nil
 	case apmesh.Complete:
@@ -28,9 +28,6 @@
 	case apmesh.Handover:
 		c.table.Merge(m.Rows)
 	case apmesh.Left:
-		if m.HandedOver {
-			c.views.HandOver(now, m.Member)
-		}
 	default:
 		return nil, apcode.Errorf(apcode.BadMessage, "unexpected message %T", message)
 	}
@@ -50,38 +47,45 @@
 	}
 }
 
-// HandOver stops granting claims and gives every row to its next owners. It returns the message that
-// tells the others.
-func (c *Claimant) HandOver(ctx context.Context) apmesh.Left {
+// mayGrant refuses claims that are meant for another run of this entry, that come from a claimant who
+// does not know the present entries, or that come before this entry has joined or after it began to
+// hand over.
+func (c *Claimant) mayGrant(claim apmesh.Claim) error {
+	switch {
+	case c.mesh == nil || c.leaving:
+		return apcode.Errorf(apcode.Leaving, "this entry does not grant ids")
+	case claim.Owner != c.self:
+		return apcode.Errorf(apcode.StaleView, "meant for run %d, this is run %d", claim.Owner.Incarnation, c.self.Incarnation)
+	case claim.Sequence < c.registry.Sequence:
+		return apcode.Errorf(apcode.StaleView, "the claimant knows registry %d, this entry knows %d", claim.Sequence, c.registry.Sequence)
+	default:
+		return nil
+	}
+}
+
+// HandOver stops granting claims and gives every row to its next owners. It reports whether all of
+// them confirmed.
+func (c *Claimant) HandOver(ctx context.Context) bool {
 	c.mu.Lock()
 	c.leaving = true
 	records := c.table.Records(time.Now())
 	mesh := c.mesh
+	next := c.registry.Leave(time.Now(), c.self, true, c.window).Members()
 	c.mu.Unlock()
-	left := apmesh.Left{Member: c.self, HandedOver: true}
-	for owner, rows := range c.nextOwners(mesh, records) {
-		if !handRows(ctx, mesh, owner, rows) {
-			left.HandedOver = false
-		}
-	}
-	return left
-}
-
-// nextOwners groups rows by the entries that own them once this one has left.
-func (c *Claimant) nextOwners(mesh Mesh, records []apclaim.Record) map[apfleet.EntryName][]apclaim.Record {
-	var others []apclaim.Member
-	for _, m := range mesh.Members() {
-		if m.Name != c.self.Name {
-			others = append(others, apclaim.Member{Name: m.Name, Incarnation: m.Incarnation})
-		}
+	if mesh == nil {
+		return len(records) == 0
 	}
 	rows := make(map[apfleet.EntryName][]apclaim.Record)
 	for _, record := range records {
-		for _, owner := range apclaim.Owners(record.ID, others) {
+		for _, owner := range apclaim.Owners(record.ID, next) {
 			rows[owner.Name] = append(rows[owner.Name], record)
 		}
 	}
-	return rows
+	complete := true
+	for owner, part := range rows {
+		complete = handRows(ctx, mesh, owner, part) && complete
+	}
+	return complete
 }
 
 // handRows sends rows in parts and reports whether all were confirmed.
--- a/internal/apdaemon/apdaemon.go
+++ b/internal/apdaemon/apdaemon.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -69,6 +70,8 @@
 
 	leaving  chan struct{}
 	listener Listeners
+	// controlling is held during a control tick; the lease and the executor belong to its holder.
+	controlling sync.Mutex
 	// held tells that this entry holds the control lease.
 	held atomic.Bool
 	// joined tells that this entry is registered; attached that it may claim request ids.
--- a/internal/apdaemon/executor.go
+++ b/internal/apdaemon/executor.go
@@ -122,7 +122,7 @@
 	case apcontrol.PauseWave:
 		return logrus.Fields{"Event": "PauseWave", "Reason": i.Reason}
 	case apcontrol.Unregister:
-		return logrus.Fields{"Event": "Unregister", "Entry": i.Name}
+		return logrus.Fields{"Event": "Unregister", "Entry": i.Member.Name}
 	default:
 		return logrus.Fields{"Event": "EndWave"}
 	}
@@ -215,12 +215,7 @@
 		if err := decodeOptional(doc.Body, &registry); err != nil {
 			return nil, err
 		}
-		for _, e := range registry.Entries {
-			if e.Name == i.Name && e.Incarnation != i.Incarnation {
-				return nil, apcode.Errorf(apcode.StoreConflict, "%s has come back", i.Name)
-			}
-		}
-		return apfleet.Encode(registry.Without(i.Name)), nil
+		return apfleet.Encode(registry.Leave(time.Now().UTC(), i.Member, false, i.Window)), nil
 	})
 }
 
--- a/internal/apdaemon/loops.go
+++ b/internal/apdaemon/loops.go
@@ -49,7 +49,6 @@
 	if members := len(remote.Members); int64(members) != d.members.Swap(int64(members)) {
 		d.state.notify()
 	}
-	d.claimant.Observe(now)
 	d.entry.ApplyRemote(now, d.self.Name, remote)
 	d.entry.Tick(now)
 }
@@ -65,10 +64,10 @@
 		fleet, disruptions := d.state.Fleet(int(max(d.members.Load(), 1)))
 		d.entry.SetFleet(fleet)
 		d.state.SetObeyed(disruptions)
-		settings, _ := d.state.Settings()
-		for _, path := range settings.Services(d.config.Entry.Deployment) {
-			d.claimant.SetWindow(settings.Resolve(path).ClaimWindow)
-		}
+		d.claimant.SetWindow(d.claimWindow())
+		registry := d.state.Registry()
+		d.claimant.SetRegistry(registry)
+		d.node.Learn(registry.Entries)
 		d.metricsGauges(fleet)
 	}
 }
@@ -152,6 +151,8 @@
 
 // controlTick runs the systems once when this entry holds the control lease.
 func (d *Daemon) controlTick(ctx context.Context, now time.Time) {
+	d.controlling.Lock()
+	defer d.controlling.Unlock()
 	if d.isLeaving() || !d.joined.Load() || !d.state.Ready() {
 		return
 	}
@@ -209,16 +210,12 @@
 }
 
 func (d *Daemon) tryJoin(ctx context.Context) error {
-	var earlier []apfleet.Registration
 	doc, err := d.client.Update(ctx, apfleet.KeyRegistry, func(doc apstore.Document) ([]byte, error) {
 		var registry apfleet.Registry
 		if err := decodeOptional(doc.Body, &registry); err != nil {
 			return nil, err
 		}
-		earlier = registry.Entries
-		registry = registry.Without(d.self.Name)
-		registry.Entries = append(registry.Entries, d.self)
-		return apfleet.Encode(registry), nil
+		return apfleet.Encode(registry.Join(time.Now().UTC(), d.self, d.claimWindow())), nil
 	})
 	if err != nil {
 		return err
@@ -228,32 +225,37 @@
 	if err != nil {
 		return err
 	}
-	d.node.Learn(earlier)
-	d.attach(earlier)
 	d.state.CheckStore(page.Revision, known)
 	d.publishAll(page, 0)
 	d.node.Publish(doc)
+	d.attach()
 	return d.createSettings(ctx)
 }
 
 // attachFromPeers lets this entry work before the store answers, once its peers have told it of the
 // registered entries.
 func (d *Daemon) attachFromPeers() {
-	registered := d.state.Registered()
-	if len(registered) == 0 {
-		return
+	if registry := d.state.Registry(); len(registry.Entries) > 0 {
+		d.attach()
 	}
-	d.node.Learn(registered)
-	d.attach(registered)
 }
 
-// attach gives the claimant its mesh and those who may know of earlier ids, once.
-func (d *Daemon) attach(earlier []apfleet.Registration) {
+// attach lets this entry claim request ids once it knows the registered entries.
+func (d *Daemon) attach() {
+	registry := d.state.Registry()
+	d.node.Learn(registry.Entries)
+	d.claimant.SetRegistry(registry)
 	if d.attached.CompareAndSwap(false, true) {
-		d.claimant.Attach(d.node, earlier)
+		d.claimant.Attach(d.node)
 	}
 }
 
+// claimWindow returns how long former views of entries are remembered.
+func (d *Daemon) claimWindow() time.Duration {
+	settings, _ := d.state.Settings()
+	return settings.ViewWindow(d.config.Entry.Deployment)
+}
+
 // createSettings writes the settings tree of a deployment that has none.
 func (d *Daemon) createSettings(ctx context.Context) error {
 	if _, revision := d.state.Settings(); revision != 0 || d.initial == nil {
@@ -280,29 +282,36 @@
 	d.logger.WithFields(logrus.Fields{"Event": "Leaving", "Entry": d.self.Name, "InFlight": d.entry.InFlight()}).Info()
 	pause(ctx, leaveNotice)
 	d.entry.Leave()
-	d.held.Store(false)
-	if err := d.lease.Release(ctx); err != nil {
-		d.logger.WithError(err).WithField("Event", "LeaseNotReleased").Warn()
-	}
+	d.releaseLease(ctx)
 	_ = s.caller.Shutdown(ctx)
 	_ = d.entry.Wait()
-	left := d.claimant.HandOver(ctx)
+	handedOver := d.claimant.HandOver(ctx)
 	if d.joined.Load() {
-		d.deregister(ctx)
+		d.deregister(ctx, handedOver)
 	}
-	d.node.Leave(ctx, left)
+	d.node.Leave(ctx, apmesh.Left{Member: d.self.Member()})
 	_ = s.operator.Shutdown(ctx)
 	_ = s.mesh.Close()
-	d.logger.WithFields(logrus.Fields{"Event": "Left", "Entry": d.self.Name, "HandedOver": left.HandedOver}).Info()
+	d.logger.WithFields(logrus.Fields{"Event": "Left", "Entry": d.self.Name, "HandedOver": handedOver}).Info()
+}
+
+// releaseLease gives the control lease up once the tick under way has ended.
+func (d *Daemon) releaseLease(ctx context.Context) {
+	d.controlling.Lock()
+	defer d.controlling.Unlock()
+	d.held.Store(false)
+	if err := d.lease.Release(ctx); err != nil {
+		d.logger.WithError(err).WithField("Event", "LeaseNotReleased").Warn()
+	}
 }
 
-func (d *Daemon) deregister(ctx context.Context) {
+func (d *Daemon) deregister(ctx context.Context, handedOver bool) {
 	doc, err := d.client.Update(ctx, apfleet.KeyRegistry, func(doc apstore.Document) ([]byte, error) {
 		var registry apfleet.Registry
 		if err := decodeOptional(doc.Body, &registry); err != nil {
 			return nil, err
 		}
-		return apfleet.Encode(registry.Without(d.self.Name)), nil
+		return apfleet.Encode(registry.Leave(time.Now().UTC(), d.self.Member(), handedOver, d.claimWindow())), nil
 	})
 	if err != nil {
 		d.logger.WithError(err).WithField("Event", "NotDeregistered").Warn()
--- a/internal/apdaemon/state.go
+++ b/internal/apdaemon/state.go
@@ -273,9 +273,9 @@
 	return slices.Clone(s.obeyed)
 }
 
-// Registered returns the registered entries.
-func (s *State) Registered() []apfleet.Registration {
+// Registry returns the table of entries.
+func (s *State) Registry() apfleet.Registry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(s.registry.Entries)
+	return s.registry
 }
--- a/pkg/apclaim/apclaim.go
+++ b/pkg/apclaim/apclaim.go
@@ -1,6 +1,6 @@
 // Package apclaim makes requests run at most once across entries: the id of a non-idempotent
-// request is claimed at the two entries that own it by rendezvous hash. It has no sockets and no
-// clock of its own.
+// request is claimed at a majority of the three entries that own it by rendezvous hash. It has no
+// sockets and no clock of its own.
 package apclaim
 
 import (
--- a/pkg/apcode/apcode.go
+++ b/pkg/apcode/apcode.go
@@ -80,6 +80,7 @@
 	Unauthorized    Code = 5003
 	PeerUnreachable Code = 5004
 	SendQueueFull   Code = 5005
+	StaleView       Code = 5006
 )
 
 // Codes of jobs and tasks.
--- a/pkg/apcode/descriptions.go
+++ b/pkg/apcode/descriptions.go
@@ -54,6 +54,7 @@
 		{Unauthorized, "Unauthorized", http.StatusUnauthorized, false, "The key or token is missing or wrong.", "Use the key file of this deployment."},
 		{PeerUnreachable, "PeerUnreachable", http.StatusServiceUnavailable, false, "The peer did not answer in time.", "It is tried again with backoff."},
 		{SendQueueFull, "SendQueueFull", http.StatusServiceUnavailable, false, "The bounded queue of messages to a peer is full.", "The message is dropped; replication repairs it later."},
+		{StaleView, "StaleView", http.StatusConflict, false, "The sender knows an older registry of entries than the receiver.", "It is tried again once the newer registry has arrived."},
 		{JobNeverFits, "JobNeverFits", http.StatusConflict, false, "No worker is large enough for the job.", "Declare less, or add a larger worker."},
 		{QuotaExceeded, "QuotaExceeded", http.StatusConflict, false, "The team's quota is used up.", "Wait, or raise the quota."},
 		{NoSuchTask, "NoSuchTask", http.StatusNotFound, false, "No such task runs on the worker.", "Nothing; it has already ended."},
--- a/pkg/apcontrol/assign.go
+++ b/pkg/apcontrol/assign.go
@@ -151,7 +151,7 @@
 		}
 		if v.Now.Sub(since) > c.options.UnregisterAfter {
 			delete(c.gone, entry.Name)
-			intents = append(intents, Unregister{Name: entry.Name, Incarnation: entry.Incarnation})
+			intents = append(intents, Unregister{Member: entry.Member(), Window: v.Settings.ViewWindow(v.Deployment)})
 		}
 	}
 	return intents
--- a/pkg/apcontrol/disruption.go
+++ b/pkg/apcontrol/disruption.go
@@ -13,12 +13,24 @@
 	var intents []Intent
 	for p := range v.pools {
 		for _, row := range v.pools[p].rows {
-			intents = append(intents, v.advance(&v.pools[p], row)...)
+			steps := v.advance(&v.pools[p], row)
+			v.markWritten(p, steps)
+			intents = append(intents, steps...)
 		}
 	}
 	return intents
 }
 
+// markWritten notes that a pool's table is written in this tick, so that nothing else is added to it
+// at a revision that is about to pass.
+func (v *view) markWritten(pool int, steps []Intent) {
+	for _, step := range steps {
+		if _, ok := step.(CloseDisruption); ok {
+			v.pools[pool].revision = 0
+		}
+	}
+}
+
 // advance returns the next step of one planned stop.
 func (v *view) advance(pool *poolRow, row apfleet.Disruption) []Intent {
 	i, ok := v.byVM[row.VM]
--- a/pkg/apcontrol/intent.go
+++ b/pkg/apcontrol/intent.go
@@ -1,6 +1,8 @@
 package apcontrol
 
 import (
+	"time"
+
 	"auburnport/pkg/apfleet"
 	"auburnport/pkg/apstore"
 )
@@ -79,8 +81,9 @@
 
 // Unregister removes an entry that is dead.
 type Unregister struct {
-	Name        apfleet.EntryName
-	Incarnation uint64
+	Member apfleet.Member
+	// Window is how long the view that ends is remembered.
+	Window time.Duration
 }
 
 func (AssignOwners) intent()    {}
--- a/pkg/apfleet/apfleet.go
+++ b/pkg/apfleet/apfleet.go
@@ -244,39 +244,3 @@
 
 // Active reports whether the wave has VMs left to reboot.
 func (w Wave) Active() bool { return w.Name != "" && w.Ended.IsZero() }
-
-// Registration is an entry that may hold requests in flight.
-type Registration struct {
-	Name EntryName `cbor:"Name"`
-	// Incarnation differs between two runs of the same entry.
-	Incarnation uint64         `cbor:"Incarnation"`
-	Mesh        netip.AddrPort `cbor:"Mesh"`
-	DataCentre  DataCentre     `cbor:"DataCentre"`
-}
-
-// Registry is the table of entries and one value of the store. A planned stop waits for all of them.
-type Registry struct {
-	// Entries holds each name once.
-	Entries []Registration `cbor:"Entries"`
-}
-
-// Check returns BadMessage for a row without a name or an address.
-func (r Registry) Check() error {
-	for _, e := range r.Entries {
-		if e.Name == "" || !e.Mesh.IsValid() {
-			return apcode.Errorf(apcode.BadMessage, "entry %q has no name or no mesh address", e.Name)
-		}
-	}
-	return nil
-}
-
-// Without returns a copy without the entry of that name.
-func (r Registry) Without(name EntryName) Registry {
-	rows := make([]Registration, 0, len(r.Entries))
-	for _, e := range r.Entries {
-		if e.Name != name {
-			rows = append(rows, e)
-		}
-	}
-	return Registry{Entries: rows}
-}
--- /dev/null
+++ b/pkg/aplease/aplease_test.go
@@ -0,0 +1,74 @@
+package aplease_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"auburnport/pkg/apcode"
+	"auburnport/pkg/aplease"
+	"auburnport/pkg/apstore"
+	"auburnport/pkg/apstore/memory"
+)
+
+const key = "auburnport-control/test"
+
+// broken is a store whose renewals fail.
+type broken struct{ apstore.Store }
+
+func (broken) Renew(context.Context, apstore.LeaseID) error {
+	return apcode.Errorf(apcode.StoreUnavailable, "down")
+}
+
+func TestOneHolderAndRisingEpochs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		first := aplease.New(store, key, "a")
+		second := aplease.New(store, key, "b")
+		var epoch uint64
+		for range 200 {
+			a := first.Step(t.Context(), time.Now())
+			b := second.Step(t.Context(), time.Now())
+			assert.Assert(t, !a.Held || !b.Held)
+			if a.Held {
+				epoch = a.Epoch
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Assert(t, first.Held(time.Now()).Held)
+		assert.NilError(t, first.Release(t.Context()))
+		time.Sleep(3 * time.Second)
+		b := second.Step(t.Context(), time.Now())
+		assert.Assert(t, b.Held)
+		assert.Assert(t, b.Epoch > epoch)
+	})
+}
+
+func TestPausedHolderLosesTheLeaseBeforeAnotherHasIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		paused := aplease.New(store, key, "a")
+		other := aplease.New(store, key, "b")
+		assert.Assert(t, paused.Step(t.Context(), time.Now()).Held)
+		for !other.Step(t.Context(), time.Now()).Held {
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.Assert(t, !paused.Held(time.Now()).Held, "both hold the lease")
+		assert.Assert(t, !paused.Step(t.Context(), time.Now()).Held)
+	})
+}
+
+func TestHolderStopsByItselfWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lease := aplease.New(broken{memory.New()}, key, "a")
+		start := time.Now()
+		assert.Assert(t, lease.Step(t.Context(), start).Held)
+		for lease.Step(t.Context(), time.Now()).Held {
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.Assert(t, time.Since(start) <= 5*time.Second, "held %v of a lease of 6 s", time.Since(start))
+	})
+}
--- a/pkg/apmesh/message.go
+++ b/pkg/apmesh/message.go
@@ -118,6 +118,10 @@
 // Claim asks an owner for a request id.
 type Claim struct {
 	Request apclaim.Request `cbor:"Request"`
+	// Owner is the run of the entry that is asked.
+	Owner apfleet.Member `cbor:"Owner"`
+	// Sequence is that of the claimant's registry.
+	Sequence uint64 `cbor:"Sequence"`
 }
 
 // VerdictKind numbers the verdicts on a claim.
@@ -161,11 +165,9 @@
 	Detail string      `cbor:"Detail"`
 }
 
-// Left tells that the sender has handed its claims over and leaves.
+// Left tells that the sender leaves.
 type Left struct {
-	Member apclaim.Member `cbor:"Member"`
-	// HandedOver is true when every row reached its next owners.
-	HandedOver bool `cbor:"HandedOver"`
+	Member apfleet.Member `cbor:"Member"`
 }
 
 func (Heartbeat) kind() Kind { return KindHeartbeat }
--- /dev/null
+++ b/pkg/aproute/aproute_test.go
@@ -0,0 +1,216 @@
+package aproute_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"auburnport/pkg/apcode"
+	"auburnport/pkg/apfleet"
+	"auburnport/pkg/aproute"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func instances(n int) []aproute.Instance {
+	list := make([]aproute.Instance, 0, n)
+	for i := range n {
+		list = append(list, aproute.Instance{ID: apfleet.VMID(fmt.Sprintf("vm-%d", i)), Address: netip.MustParseAddrPort("127.0.0.1:1")})
+	}
+	return list
+}
+
+func ticket(now time.Time) *aproute.Ticket {
+	return &aproute.Ticket{Idempotent: true, Deadline: now.Add(2 * time.Second), Notify: func(aproute.Decision) {}}
+}
+
+func TestSlotsAreNeverExceededAndTheRestWaits(t *testing.T) {
+	b := aproute.New()
+	b.SetInstances(instances(2))
+	dispatched := 0
+	for range 20 {
+		switch b.Submit(start, ticket(start)).(type) {
+		case aproute.Dispatch:
+			dispatched++
+		case aproute.Wait:
+		case aproute.Refuse:
+			t.Fatal("refused although the queue has room")
+		}
+	}
+	assert.Equal(t, dispatched, 16)
+	assert.Equal(t, b.Waiting(), 4)
+}
+
+func TestRefusalsTellWhy(t *testing.T) {
+	b := aproute.New(aproute.WithLimits(aproute.Limits{Slots: 1, QueueLimit: 1, RetryShare: 0.1, EjectShare: 0.5}))
+	refusal := func(ticket *aproute.Ticket) apcode.Code {
+		refuse, ok := b.Submit(start, ticket).(aproute.Refuse)
+		assert.Assert(t, ok)
+		assert.Assert(t, refuse.RetryAfter > 0)
+		return refuse.Code
+	}
+	assert.Equal(t, refusal(ticket(start)), apcode.NoInstance)
+	b.SetInstances(instances(1))
+	b.Submit(start, ticket(start))
+	hurried := ticket(start)
+	hurried.Deadline = start.Add(time.Millisecond)
+	assert.Equal(t, refusal(hurried), apcode.DeadlineUnreachable)
+	b.Submit(start, ticket(start))
+	assert.Equal(t, refusal(ticket(start)), apcode.QueueFull)
+}
+
+func TestCallersAreServedInTurn(t *testing.T) {
+	b := aproute.New(aproute.WithLimits(aproute.Limits{Slots: 1, QueueLimit: 100}))
+	b.SetInstances(instances(1))
+	first, ok := b.Submit(start, ticket(start)).(aproute.Dispatch)
+	assert.Assert(t, ok)
+	var served []string
+	submit := func(caller string) {
+		waiting := ticket(start)
+		waiting.Caller = caller
+		waiting.Notify = func(aproute.Decision) { served = append(served, caller) }
+		b.Submit(start, waiting)
+	}
+	for range 4 {
+		submit("greedy")
+	}
+	submit("modest")
+	for range 5 {
+		b.Finish(start, aproute.Attempt{Instance: first.Instance, Elapsed: time.Millisecond})
+		b.Next(start)
+	}
+	assert.DeepEqual(t, served, []string{"greedy", "modest", "greedy", "greedy", "greedy"})
+}
+
+func TestExpiredRequestsAreRefusedInTheQueue(t *testing.T) {
+	b := aproute.New(aproute.WithLimits(aproute.Limits{Slots: 1, QueueLimit: 100}))
+	b.SetInstances(instances(1))
+	b.Submit(start, ticket(start))
+	waiting := ticket(start)
+	var got aproute.Decision
+	waiting.Notify = func(d aproute.Decision) { got = d }
+	b.Submit(start, waiting)
+	b.Next(start.Add(3 * time.Second))
+	refuse, ok := got.(aproute.Refuse)
+	assert.Assert(t, ok)
+	assert.Equal(t, refuse.Code, apcode.DeadlineExpired)
+}
+
+// run sends n requests one after the other, 10 ms apart, and counts those that reach the instance.
+func run(b *aproute.Balancer, now time.Time, n int, target apfleet.VMID, outcome func(apfleet.VMID) aproute.Outcome) (reached int, end time.Time) {
+	for range n {
+		now = now.Add(10 * time.Millisecond)
+		dispatch, ok := b.Submit(now, ticket(now)).(aproute.Dispatch)
+		if !ok {
+			continue
+		}
+		if dispatch.Instance == target {
+			reached++
+		}
+		b.Finish(now, aproute.Attempt{Instance: dispatch.Instance, Outcome: outcome(dispatch.Instance), Elapsed: 5 * time.Millisecond})
+	}
+	return reached, now
+}
+
+func TestFastFailerIsEjectedAndComesBack(t *testing.T) {
+	b := aproute.New()
+	b.SetInstances(instances(10))
+	bad := apfleet.VMID("vm-3")
+	failing := func(id apfleet.VMID) aproute.Outcome {
+		if id == bad {
+			return aproute.Failed
+		}
+		return aproute.Succeeded
+	}
+	_, now := run(b, start, 300, bad, failing)
+	reached, now := run(b, now, 1000, bad, failing)
+	assert.Assert(t, reached < 20, "%d of 1000 requests after 3 s", reached)
+	healthy := func(apfleet.VMID) aproute.Outcome { return aproute.Succeeded }
+	_, now = run(b, now, 4000, bad, healthy)
+	assert.Equal(t, b.Ejected(), 0)
+	reached, _ = run(b, now, 1000, bad, healthy)
+	assert.Assert(t, reached > 50, "%d of 1000 requests after it recovered", reached)
+}
+
+func TestEjectionStopsAtItsShare(t *testing.T) {
+	b := aproute.New()
+	b.SetInstances(instances(10))
+	run(b, start, 2000, "", func(apfleet.VMID) aproute.Outcome { return aproute.Failed })
+	assert.Assert(t, b.Ejected() <= 5, "%d of 10 ejected", b.Ejected())
+}
+
+func TestRetriesAreAShareOfRequests(t *testing.T) {
+	b := aproute.New()
+	b.SetInstances(instances(10))
+	retries := 0
+	now := start
+	const requests = 5000
+	for range requests {
+		_, now = run(b, now, 1, "", func(apfleet.VMID) aproute.Outcome { return aproute.Failed })
+		for b.AllowRetry() {
+			retries++
+		}
+	}
+	assert.Assert(t, retries <= requests/10+5, "%d retries of %d requests", retries, requests)
+}
+
+func TestSharesNeverExceedTheSlots(t *testing.T) {
+	for _, demands := range [][]int{{0, 0, 0}, {100, 100, 100}, {100, 0, 0}, {5, 50, 3}, {80, 1, 1}, {27, 27, 26}} {
+		const slots = 80
+		total := 0
+		for i, own := range demands {
+			var others []int
+			for j, demand := range demands {
+				if i != j {
+					others = append(others, demand)
+				}
+			}
+			total += aproute.FairShare(slots, own, others)
+		}
+		assert.Assert(t, total <= slots+len(demands), "demands %v may take %d of %d", demands, total, slots)
+	}
+}
+
+func TestOwnedSlotsAddUp(t *testing.T) {
+	members := []apfleet.EntryName{"a", "b", "c"}
+	total := 0
+	for _, self := range members {
+		b := aproute.New(aproute.WithStrategy(aproute.OwnedSlots{}))
+		b.SetInstances(instances(10))
+		b.SetMembers(self, members)
+		for {
+			waiting := ticket(start)
+			if _, ok := b.Submit(start, waiting).(aproute.Dispatch); !ok {
+				break
+			}
+			total++
+		}
+	}
+	assert.Equal(t, total, 80)
+}
+
+func TestLeavingInstanceKeepsItsCountUntilEmpty(t *testing.T) {
+	b := aproute.New()
+	b.SetInstances(instances(1))
+	dispatch, ok := b.Submit(start, ticket(start)).(aproute.Dispatch)
+	assert.Assert(t, ok)
+	b.SetInstances(nil)
+	assert.Equal(t, b.InFlight(dispatch.Instance), 1)
+	b.Finish(start, aproute.Attempt{Instance: dispatch.Instance})
+	assert.Equal(t, b.InFlight(dispatch.Instance), 0)
+}
+
+func BenchmarkSubmit100(b *testing.B) {
+	balancer := aproute.New()
+	balancer.SetInstances(instances(100))
+	request := ticket(start)
+	b.ReportAllocs()
+	for b.Loop() {
+		if dispatch, ok := balancer.Submit(start, request).(aproute.Dispatch); ok {
+			balancer.Finish(start, aproute.Attempt{Instance: dispatch.Instance, Elapsed: time.Millisecond})
+		}
+	}
+}
--- a/pkg/aproute/strategy.go
+++ b/pkg/aproute/strategy.go
@@ -158,7 +158,7 @@
 	for i, demand := range demands {
 		even := (left + len(demands) - i - 1) / (len(demands) - i)
 		if demand >= even {
-			return max(even, 1)
+			return max(min(own, even), 1)
 		}
 		left -= demand
 	}
--- a/pkg/apsettings/apsettings.go
+++ b/pkg/apsettings/apsettings.go
@@ -255,3 +255,16 @@
 func unknownKey(key string) error {
 	return apcode.Errorf(apcode.UnknownKey, "%q; known keys are %s", key, strings.Join(Keys(), ", "))
 }
+
+// clockMargin bounds the difference between the clocks of two entries.
+const clockMargin = time.Minute
+
+// ViewWindow returns how long former views of entries are remembered: as long as any service of the
+// deployment remembers request ids.
+func (t Tree) ViewWindow(deployment string) time.Duration {
+	window := t.Resolve(Path("/" + deployment)).ClaimWindow
+	for _, path := range t.Services(deployment) {
+		window = max(window, t.Resolve(path).ClaimWindow)
+	}
+	return window + clockMargin
+}
--- /dev/null
+++ b/pkg/apstore/main_test.go
@@ -0,0 +1,16 @@
+package apstore_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of property tests, so that every run makes the same checks.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
