--- a/internal/apcommand/scenario_test.go
+++ b/internal/apcommand/scenario_test.go
@@ -24,7 +24,7 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
-			for _, name := range []string{"STORE", "CALLER1", "MESH1", "OPERATOR1", "CALLER2", "MESH2", "OPERATOR2"} {
+			for _, name := range []string{"STORE", "CALLER1", "MESH1", "OPERATOR1", "CALLER2", "MESH2", "OPERATOR2", "CALLER3", "MESH3", "OPERATOR3"} {
 				port, err := freePort()
 				if err != nil {
 					return err
--- /dev/null
+++ b/pkg/apmesh/node_test.go
@@ -0,0 +1,136 @@
+package apmesh_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"auburnport/pkg/apcode"
+	"auburnport/pkg/apfleet"
+	"auburnport/pkg/apmesh"
+	"auburnport/pkg/apstore"
+)
+
+// peer is a node with its server.
+type peer struct {
+	node    *apmesh.Node
+	metrics metrics.Registry
+	address netip.AddrPort
+	stop    func()
+
+	mu      sync.Mutex
+	applied []apstore.Revision
+}
+
+func (p *peer) HandleMessage(_ context.Context, _ apfleet.EntryName, message apmesh.Message) (apmesh.Message, error) {
+	if _, ok := message.(apmesh.Claim); ok {
+		return nil, apcode.Errorf(apcode.StaleView, "refused")
+	}
+	return apmesh.Verdict{Kind: apmesh.VerdictGranted}, nil
+}
+
+func (p *peer) DocumentApplied(doc apstore.Document) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.applied = append(p.applied, doc.Revision)
+}
+
+func startPeer(t *testing.T, name apfleet.EntryName, key string, seeds ...netip.AddrPort) *peer {
+	t.Helper()
+	p := &peer{metrics: metrics.NewRegistry()}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	var node *apmesh.Node
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { node.ServeHTTP(w, r) }))
+	p.address = netip.MustParseAddrPort(server.Listener.Addr().String())
+	self := apfleet.Registration{Name: name, Incarnation: 1, Mesh: p.address}
+	node = apmesh.New(self, p, p,
+		apmesh.WithKey([]byte(key)), apmesh.WithSeeds(seeds), apmesh.WithLogger(logger),
+		apmesh.WithMetrics(p.metrics), apmesh.WithHeartbeatEvery(20*time.Millisecond),
+	)
+	p.node = node
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return node.Run(ctx) })
+	p.stop = sync.OnceFunc(func() {
+		cancel()
+		server.CloseClientConnections()
+		server.Close()
+		_ = group.Wait()
+	})
+	t.Cleanup(p.stop)
+	return p
+}
+
+func waitFor(t *testing.T, what string, check func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if check() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithDelay(5*time.Millisecond), poll.WithTimeout(30*time.Second))
+}
+
+func TestEntriesFindEachOtherAndShareDocuments(t *testing.T) {
+	a := startPeer(t, "a", "0123456789abcdef")
+	a.node.Publish(apstore.Document{Key: "k", Revision: 5, Body: []byte("five")})
+	b := startPeer(t, "b", "0123456789abcdef", a.address)
+	c := startPeer(t, "c", "0123456789abcdef", b.address)
+	for _, p := range []*peer{a, b, c} {
+		waitFor(t, "three members", func() bool { return len(p.node.Members()) == 3 })
+	}
+	waitFor(t, "a document from before", func() bool { doc, _ := c.node.Document("k"); return doc.Revision == 5 })
+	c.node.Publish(apstore.Document{Key: "k", Revision: 6, Body: []byte("six")})
+	waitFor(t, "a change", func() bool { doc, _ := a.node.Document("k"); return doc.Revision == 6 })
+	b.node.Publish(apstore.Document{Key: "k", Revision: 4, Body: []byte("four")})
+	for _, p := range []*peer{a, b, c} {
+		doc, _ := p.node.Document("k")
+		assert.Equal(t, doc.Revision, apstore.Revision(6))
+		p.mu.Lock()
+		for i := 1; i < len(p.applied); i++ {
+			assert.Assert(t, p.applied[i] > p.applied[i-1], "went back: %v", p.applied)
+		}
+		p.mu.Unlock()
+	}
+}
+
+func TestCallsCarryCodesAndEndWithTheirPeer(t *testing.T) {
+	a := startPeer(t, "a", "0123456789abcdef")
+	b := startPeer(t, "b", "0123456789abcdef", a.address)
+	waitFor(t, "members", func() bool { return len(a.node.Members()) == 2 && len(b.node.Members()) == 2 })
+	_, err := a.node.Call(t.Context(), "b", apmesh.Claim{})
+	assert.Assert(t, apcode.Is(err, apcode.BadMessage), "%v", err)
+	reply, err := a.node.Call(t.Context(), "b", apmesh.Left{Member: apfleet.Member{Name: "x"}})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, reply, apmesh.Verdict{Kind: apmesh.VerdictGranted})
+	_, err = a.node.Call(t.Context(), "nobody", apmesh.Ack{})
+	assert.Assert(t, apcode.Is(err, apcode.PeerUnreachable))
+	b.stop()
+	waitFor(t, "a dead member", func() bool { return len(a.node.Members()) == 1 })
+	_, err = a.node.Call(t.Context(), "b", apmesh.Left{Member: apfleet.Member{Name: "x"}})
+	assert.Assert(t, apcode.Is(err, apcode.PeerUnreachable), "%v", err)
+}
+
+func TestStrangerIsRefused(t *testing.T) {
+	a := startPeer(t, "a", "0123456789abcdef")
+	stranger := startPeer(t, "b", "another key here", a.address)
+	refused := func() bool {
+		counter := metrics.GetOrRegisterCounter("Mesh.RefusedPeers", a.metrics)
+		return counter.Count() > 0
+	}
+	waitFor(t, "a refusal", refused)
+	assert.Equal(t, len(a.node.Members()), 1)
+	assert.Equal(t, len(stranger.node.Members()), 1)
+}
