bench: slopes of control against entries and VMs, with plots

Change: auburnport bench measures ticks, tables, wire sizes, mesh traffic, processor time, memory, settings changes and store calls at 3 to 36 entries and 50 to 2000 VMs, fits lines and draws them.

--- a/internal/apcommand/apcommand.go
+++ b/internal/apcommand/apcommand.go
@@ -48,6 +48,7 @@
 	a.addStandin()
 	a.addLoad()
 	a.addTry()
+	a.addBench()
 	a.addSettings()
 	a.addFleet()
 	_, err := a.kingpin.Parse(args)
