Mesh: small heartbeats; slots that are owned and lent

Cause: heartbeats repeated every address and every name four times a second to each peer, with field names on the wire; slots owned by hash alone strand capacity when the balancer is uneven. Change: rows go as arrays, addresses stand in one heartbeat of 20 and names heard in one of 4, loads only when the strategy needs them. Owned slots follow the entries' fair shares by weighted rendezvous.

--- a/internal/apdaemon/loops.go
+++ b/internal/apdaemon/loops.go
@@ -39,17 +39,16 @@
 
 // share applies what the other entries reported, and gives waiting requests their turn.
 func (d *Daemon) share(now time.Time) {
-	var remote apentry.Remote
+	var remotes []apentry.Remote
 	for _, member := range d.node.Members() {
-		remote.Members = append(remote.Members, member.Name)
 		if member.Name != d.self.Name {
-			remote.Reports = append(remote.Reports, member.Report)
+			remotes = append(remotes, apentry.Remote{Entry: member.Name, Report: member.Report})
 		}
 	}
-	if members := len(remote.Members); int64(members) != d.members.Swap(int64(members)) {
+	if members := len(remotes) + 1; int64(members) != d.members.Swap(int64(members)) {
 		d.state.notify()
 	}
-	d.entry.ApplyRemote(now, d.self.Name, remote)
+	d.entry.ApplyRemote(now, d.self.Name, remotes)
 	d.entry.Tick(now)
 }
 
--- a/internal/apentry/gate.go
+++ b/internal/apentry/gate.go
@@ -20,7 +20,6 @@
 	resolved apsettings.Resolved
 	connCap  int
 	arrived  uint64
-	busy     time.Duration
 }
 
 func newGate(name apfleet.ServiceName, options Options) *gate {
@@ -105,9 +104,6 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if attempt.Outcome == aproute.Succeeded {
-		g.busy += attempt.Elapsed
-	}
 	g.balancer.Finish(now, attempt)
 	g.balancer.Next(now)
 }
--- a/internal/apentry/report.go
+++ b/internal/apentry/report.go
@@ -7,36 +7,50 @@
 
 	"auburnport/pkg/apfleet"
 	"auburnport/pkg/apmesh"
+	"auburnport/pkg/aproute"
 )
 
-// Remote is what the other entries reported.
+// Remote is what another entry reported.
 type Remote struct {
-	// Members holds the names of all entries, this one included.
-	Members []apfleet.EntryName
-	// Reports holds the reports of the other entries.
-	Reports []apmesh.Report
+	Entry  apfleet.EntryName
+	Report apmesh.Report
 }
 
 // ApplyRemote tells every service of the load and demand at the other entries.
-func (e *Entry) ApplyRemote(now time.Time, self apfleet.EntryName, remote Remote) {
+func (e *Entry) ApplyRemote(now time.Time, self apfleet.EntryName, remotes []Remote) {
 	loads := make(map[apfleet.VMID]int)
-	demands := make(map[apfleet.ServiceName][]int)
-	for _, report := range remote.Reports {
-		for _, load := range report.Loads {
+	demands := make(map[apfleet.ServiceName][]aproute.Share)
+	for _, remote := range remotes {
+		for _, load := range remote.Report.Loads {
 			loads[load.VM] += load.InFlight
 		}
-		for _, demand := range report.Demands {
-			demands[demand.Service] = append(demands[demand.Service], demand.Demand)
+		for _, demand := range remote.Report.Demands {
+			demands[demand.Service] = append(demands[demand.Service], aproute.Share{Entry: remote.Entry, Demand: demand.Demand})
 		}
 	}
-	e.visit(func(g *gate) {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.balancer.SetRemote(func(id apfleet.VMID) int { return loads[id] })
-		g.balancer.SetShare(demands[g.name])
-		g.balancer.SetMembers(self, remote.Members)
-		g.balancer.Next(now)
-	})
+	e.visit(func(g *gate) { g.applyRemote(now, self, loads, demands[g.name], remotes) })
+}
+
+// applyRemote shares the slots of one service. An entry that has not reported the service yet has no
+// demand for it.
+func (g *gate) applyRemote(now time.Time, self apfleet.EntryName, loads map[apfleet.VMID]int, known []aproute.Share, remotes []Remote) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	shares := []aproute.Share{{Entry: self, Demand: g.balancer.Demand()}}
+	others := make([]int, 0, len(remotes))
+	for _, remote := range remotes {
+		share := aproute.Share{Entry: remote.Entry}
+		if i := slices.IndexFunc(known, func(s aproute.Share) bool { return s.Entry == remote.Entry }); i >= 0 {
+			share = known[i]
+		}
+		shares = append(shares, share)
+		others = append(others, share.Demand)
+	}
+	slices.SortFunc(shares, func(a, b aproute.Share) int { return strings.Compare(string(a.Entry), string(b.Entry)) })
+	g.balancer.SetRemote(func(id apfleet.VMID) int { return loads[id] })
+	g.balancer.SetShare(others)
+	g.balancer.SetMembers(self, shares)
+	g.balancer.Next(now)
 }
 
 // Demands returns the demand for each service at this entry, in the order of names.
@@ -46,11 +60,10 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		demands = append(demands, apmesh.ServiceDemand{
-			Service:         g.name,
-			Demand:          g.balancer.Demand(),
-			Arrived:         g.arrived,
-			BusyNanoseconds: uint64(g.busy),
-			ServiceTime:     g.balancer.ServiceTime(),
+			Service:     g.name,
+			Demand:      g.balancer.Demand(),
+			Arrived:     g.arrived,
+			ServiceTime: g.balancer.ServiceTime().Round(time.Millisecond),
 		})
 	})
 	slices.SortFunc(demands, func(a, b apmesh.ServiceDemand) int {
@@ -59,8 +72,11 @@
 	return demands
 }
 
-// Loads returns this entry's requests in flight to each instance.
+// Loads returns this entry's requests in flight to each instance, when the strategy needs them.
 func (e *Entry) Loads() []apmesh.InstanceLoad {
+	if _, ok := e.options.Strategy.(aproute.TwoChoices); !ok {
+		return nil
+	}
 	var loads []apmesh.InstanceLoad
 	e.visit(func(g *gate) {
 		g.mu.Lock()
--- a/pkg/apfleet/registry.go
+++ b/pkg/apfleet/registry.go
@@ -10,6 +10,8 @@
 
 // Member is one run of an entry.
 type Member struct {
+	_ struct{} `cbor:",toarray"`
+
 	Name EntryName `cbor:"Name"`
 	// Incarnation differs between two runs of the same entry, and the later run has the higher one.
 	Incarnation uint64 `cbor:"Incarnation"`
@@ -17,6 +19,8 @@
 
 // Registration is an entry that may hold requests in flight.
 type Registration struct {
+	_ struct{} `cbor:",toarray"`
+
 	Name EntryName `cbor:"Name"`
 	// Incarnation differs between two runs of the same entry, and the later run has the higher one.
 	Incarnation uint64         `cbor:"Incarnation"`
--- a/pkg/apmesh/message.go
+++ b/pkg/apmesh/message.go
@@ -37,25 +37,29 @@
 
 // ServiceDemand is the demand for a service at one entry.
 type ServiceDemand struct {
+	_ struct{} `cbor:",toarray"`
+
 	Service apfleet.ServiceName `cbor:"Service"`
 	// Demand counts requests in flight and waiting.
 	Demand int `cbor:"Demand"`
 	// Arrived counts all requests since the entry started.
 	Arrived uint64 `cbor:"Arrived"`
-	// BusyNanoseconds sums the durations of all answered requests since the entry started.
-	BusyNanoseconds uint64 `cbor:"BusyNanoseconds"`
 	// ServiceTime is the moving average of the time that an instance takes for a request.
 	ServiceTime time.Duration `cbor:"ServiceTime"`
 }
 
 // InstanceLoad is one entry's load on an instance.
 type InstanceLoad struct {
+	_ struct{} `cbor:",toarray"`
+
 	VM       apfleet.VMID `cbor:"VM"`
 	InFlight int          `cbor:"InFlight"`
 }
 
 // DrainReport tells that an entry obeys a disruption.
 type DrainReport struct {
+	_ struct{} `cbor:",toarray"`
+
 	VM apfleet.VMID `cbor:"VM"`
 	// Operation is that of the disruption which the entry obeys.
 	Operation uint64 `cbor:"Operation"`
@@ -79,9 +83,9 @@
 // Heartbeat tells that its sender is alive, and what it knows.
 type Heartbeat struct {
 	From apfleet.Registration `cbor:"From"`
-	// Heard holds the members that the sender has heard lately.
-	Heard []apfleet.EntryName `cbor:"Heard"`
-	// Peers holds the addresses of members.
+	// Heard holds the members that the sender has heard lately; it stands in some heartbeats only.
+	Heard []apfleet.EntryName `cbor:"Heard,omitempty"`
+	// Peers holds the addresses of members; they stand in few heartbeats.
 	Peers []apfleet.Registration `cbor:"Peers,omitempty"`
 	// Digest summarises the revisions of the sender's documents.
 	Digest uint64 `cbor:"Digest"`
--- a/pkg/apmesh/node.go
+++ b/pkg/apmesh/node.go
@@ -18,6 +18,12 @@
 // Version is the version of the protocol between entries.
 const Version = "1"
 
+// Of this many heartbeats one carries the members that were heard, and one the addresses of members.
+const (
+	heardEvery = 4
+	peersEvery = 20
+)
+
 // Path is the HTTP path at which entries accept connections of peers.
 const Path = "/mesh"
 
@@ -32,6 +38,8 @@
 	client    *http.Client
 	nonces    *nonceCache
 	pulls     chan apfleet.EntryName
+	// beats counts heartbeats; it belongs to the goroutine that sends them.
+	beats uint64
 
 	mu         sync.Mutex
 	membership *Membership
@@ -213,19 +221,27 @@
 	if stopped {
 		return
 	}
-	beat := n.heartbeat(now)
+	n.beats++
+	beat := n.heartbeat(now, n.beats%peersEvery == 1, n.beats%heardEvery == 1)
 	data := EncodeFrame(beat, heartbeatCall, false)
 	for _, p := range n.allPeers() {
 		p.sendHeartbeat(data)
 	}
 }
 
-func (n *Node) heartbeat(now time.Time) Heartbeat {
+// heartbeat returns the next heartbeat, with the addresses of members or those heard lately.
+func (n *Node) heartbeat(now time.Time, withPeers, withHeard bool) Heartbeat {
 	report := n.currentReport()
 	digest := n.documents.summary()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	beat := Heartbeat{From: n.self, Digest: digest, Report: report, Heard: n.membership.HeardLately(now)}
+	beat := Heartbeat{From: n.self, Digest: digest, Report: report}
+	if withHeard {
+		beat.Heard = n.membership.HeardLately(now)
+	}
+	if !withPeers {
+		return beat
+	}
 	for _, member := range n.membership.Members() {
 		beat.Peers = append(beat.Peers, member.Registration)
 	}
--- a/pkg/apmesh/seed.go
+++ b/pkg/apmesh/seed.go
@@ -56,7 +56,7 @@
 		return apcode.Wrapf(apcode.PeerUnreachable, err, "dial seed %s", address)
 	}
 	defer func() { _ = conn.CloseNow() }()
-	beat := n.heartbeat(time.Now())
+	beat := n.heartbeat(time.Now(), true, true)
 	if err := conn.Write(ctx, websocket.MessageBinary, EncodeFrame(beat, heartbeatCall, false)); err != nil {
 		return err
 	}
--- a/pkg/aproute/aproute.go
+++ b/pkg/aproute/aproute.go
@@ -103,6 +103,7 @@
 	service   serviceTime
 	cursor    int
 	available int
+	owners    slotOwners
 	// drain is the moving average of the time between two dispatches from the queue.
 	drain     time.Duration
 	drainedAt time.Time
--- a/pkg/aproute/strategy.go
+++ b/pkg/aproute/strategy.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"auburnport/pkg/apfleet"
 )
 
@@ -20,7 +18,7 @@
 // entries report.
 type TwoChoices struct{}
 
-// OwnedSlots gives each slot of an instance to one entry by rendezvous hash.
+// OwnedSlots gives each slot of an instance to one entry, which lends those that it does not need.
 type OwnedSlots struct{}
 
 func (LeastLoaded) strategy() {}
@@ -165,31 +163,21 @@
 	return max(own+left/len(demands), 1)
 }
 
-// SetMembers gives each slot to one of the entries under the strategy OwnedSlots.
-func (b *Balancer) SetMembers(self apfleet.EntryName, members []apfleet.EntryName) {
+// Share is an entry's demand for the service, by which slots are lent.
+type Share struct {
+	Entry  apfleet.EntryName
+	Demand int
+}
+
+// SetMembers gives each slot to one of the entries under the strategy OwnedSlots. Slots go to the entries
+// in proportion to their fair shares, by weighted rendezvous hash: an entry that needs few lends the rest,
+// and entries that know the same demands agree on every slot.
+func (b *Balancer) SetMembers(self apfleet.EntryName, shares []Share) {
 	if _, ok := b.options.Strategy.(OwnedSlots); !ok {
 		return
 	}
+	b.owners.update(self, shares, b.usable()*b.options.Limits.Slots)
 	for i := range b.rows {
-		b.rows[i].allowance = ownedSlots(b.rows[i].ID, b.options.Limits.Slots, self, members)
-	}
-}
-
-// ownedSlots counts the slots of an instance that rendezvous hashing gives to self.
-func ownedSlots(id apfleet.VMID, slots int, self apfleet.EntryName, members []apfleet.EntryName) int {
-	owned := 0
-	for slot := range slots {
-		var best uint64
-		var owner apfleet.EntryName
-		for _, member := range members {
-			hash := xxhash.Sum64String(string(id) + "/" + string(rune('0'+slot)) + "/" + string(member))
-			if owner == "" || hash > best {
-				best, owner = hash, member
-			}
-		}
-		if owner == self {
-			owned++
-		}
+		b.rows[i].allowance = b.owners.allowance(b.rows[i].ID, b.options.Limits.Slots)
 	}
-	return owned
 }
