--- a/internal/apbench/tables.go
+++ b/internal/apbench/tables.go
@@ -28,7 +28,7 @@
 // Tables returns a fleet that is at rest: every VM serves the service of its pool.
 func Tables(size Size) *apcontrol.Tables {
 	tables := &apcontrol.Tables{
-		Now: time.Unix(1_000_000, 0), Deployment: "d", Settings: Settings(size), Revision: 1000, Epoch: 1,
+		Now: time.Unix(1_000_000, 0), Deployment: "d", Settings: Settings(size), SettingsRevision: 1, Revision: 1000, Epoch: 1,
 		Owners: make(apcontrol.OwnersTable), Disruptions: make(apcontrol.DisruptionsTable),
 	}
 	for i := range size.VMs {
--- a/internal/apdaemon/state.go
+++ b/internal/apdaemon/state.go
@@ -198,17 +198,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	tables := &apcontrol.Tables{
-		Now:         now,
-		Deployment:  s.deployment,
-		Settings:    s.settings,
-		VMs:         s.list.VMs,
-		Owners:      make(apcontrol.OwnersTable, len(s.owners)),
-		Disruptions: make(apcontrol.DisruptionsTable, len(s.disruptions)),
-		Wave:        s.wave,
-		Registry:    s.registry,
-		Entries:     entries,
-		Epoch:       epoch,
-		Revision:    s.revision,
+		Now:              now,
+		Deployment:       s.deployment,
+		Settings:         s.settings,
+		SettingsRevision: s.settingsRevision,
+		VMs:              s.list.VMs,
+		Owners:           make(apcontrol.OwnersTable, len(s.owners)),
+		Disruptions:      make(apcontrol.DisruptionsTable, len(s.disruptions)),
+		Wave:             s.wave,
+		Registry:         s.registry,
+		Entries:          entries,
+		Epoch:            epoch,
+		Revision:         s.revision,
 	}
 	for dc, row := range s.owners {
 		tables.Owners[dc] = row
--- a/pkg/apcontrol/apcontrol.go
+++ b/pkg/apcontrol/apcontrol.go
@@ -51,6 +51,8 @@
 	Now        time.Time
 	Deployment string
 	Settings   apsettings.Tree
+	// SettingsRevision changes with the settings; 0 means unknown.
+	SettingsRevision apstore.Revision
 	// VMs is the platform's list.
 	VMs         []apfleet.VM
 	Owners      OwnersTable
@@ -72,6 +74,7 @@
 	options Options
 	epoch   uint64
 	demand  *Demand
+	pools   poolCache
 	// balancer holds how long each pool has been short; a successor starts anew.
 	balancer *Balancer
 	started  map[apfleet.VMID]startOrder
@@ -99,7 +102,7 @@
 		c.epoch = tables.Epoch
 		clear(c.started)
 	}
-	v := newView(tables)
+	v := newView(tables, &c.pools)
 	c.demand.Observe(tables.Now, v.reports())
 	var intents []Intent
 	intents = append(intents, c.assign(v)...)
--- a/pkg/apcontrol/operator.go
+++ b/pkg/apcontrol/operator.go
@@ -20,7 +20,7 @@
 
 // Summarise returns a summary of each pool.
 func Summarise(tables *Tables) []PoolSummary {
-	v := newView(tables)
+	v := newView(tables, &poolCache{})
 	summaries := make([]PoolSummary, 0, len(v.pools))
 	for _, pool := range v.pools {
 		summaries = append(summaries, PoolSummary{
@@ -47,7 +47,7 @@
 // PlanDisruption returns the record of a stop that an operator asks for.
 // Errors: NoSuchVM, NoSuchPool, VMDisrupted, BudgetExceeded, BadValue.
 func PlanDisruption(tables *Tables, id apfleet.VMID, kind apfleet.DisruptionKind, target apfleet.PoolName) (OpenDisruption, error) {
-	v := newView(tables)
+	v := newView(tables, &poolCache{})
 	i, ok := v.byVM[id]
 	if !ok || v.vms[i].pool == noPool {
 		return OpenDisruption{}, apcode.Errorf(apcode.NoSuchVM, "%s is not listed or belongs to no pool", id)
--- a/pkg/apcontrol/view.go
+++ b/pkg/apcontrol/view.go
@@ -42,14 +42,43 @@
 
 const noPool = -1
 
-func newView(tables *Tables) *view {
+// poolCache holds the pools of one revision of the settings. The zero value is empty.
+type poolCache struct {
+	revision apstore.Revision
+	pools    []poolRow
+}
+
+// of returns the pools of the tables, without their VMs and disruptions.
+func (c *poolCache) of(tables *Tables) []poolRow {
+	if c.pools == nil || tables.SettingsRevision == 0 || c.revision != tables.SettingsRevision {
+		c.revision = tables.SettingsRevision
+		c.pools = settledPools(tables)
+	}
+	return c.pools
+}
+
+func settledPools(tables *Tables) []poolRow {
+	services := make(map[apfleet.PoolName]apfleet.ServiceName)
+	for _, path := range tables.Settings.Services(tables.Deployment) {
+		services[path.Pool()] = path.Service()
+	}
+	var pools []poolRow
+	for _, path := range tables.Settings.Pools(tables.Deployment) {
+		pools = append(pools, poolRow{
+			name: path.Pool(), path: path, settings: tables.Settings.Resolve(path), service: services[path.Pool()],
+		})
+	}
+	return pools
+}
+
+func newView(tables *Tables, cache *poolCache) *view {
 	v := &view{
 		Tables: tables,
 		vms:    make([]vmRow, 0, len(tables.VMs)),
 		byVM:   make(map[apfleet.VMID]int, len(tables.VMs)),
 		byPool: make(map[apfleet.PoolName]int),
 	}
-	v.addPools()
+	v.addPools(cache.of(tables))
 	down := v.downVotes()
 	for _, vm := range tables.VMs {
 		v.addVM(vm, down)
@@ -64,13 +93,9 @@
 	return v
 }
 
-func (v *view) addPools() {
-	services := make(map[apfleet.PoolName]apfleet.ServiceName)
-	for _, path := range v.Settings.Services(v.Deployment) {
-		services[path.Pool()] = path.Service()
-	}
-	for _, path := range v.Settings.Pools(v.Deployment) {
-		row := poolRow{name: path.Pool(), path: path, settings: v.Settings.Resolve(path), service: services[path.Pool()]}
+func (v *view) addPools(settled []poolRow) {
+	v.pools = make([]poolRow, 0, len(settled))
+	for _, row := range settled {
 		disruptions := v.Disruptions[row.name]
 		row.rows = disruptions.Rows
 		row.revision = disruptions.Revision
