Scenarios: an owner paused, two owners killed, the store slow and away; one HTTP call for both platforms

Cause: pauses, double deaths and an entry that starts without the store had no proof across processes; the call over HTTP stood twice. Change: scenarios claims and store; package apcall.

--- a/internal/apcommand/scenario_test.go
+++ b/internal/apcommand/scenario_test.go
@@ -4,7 +4,10 @@
 	"net"
 	"os"
 	"regexp"
+	"slices"
+	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -33,7 +36,7 @@
 			}
 			return nil
 		},
-		Cmds: map[string]func(*testscript.TestScript, bool, []string){"until": until, "config": config},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"until": until, "config": config, "signal": sendSignal},
 	})
 }
 
@@ -64,10 +67,27 @@
 	ts.Fatalf("%v never printed %q", args[1:], args[0])
 }
 
-// config writes the settings file of an entry: config FILE NAME CALLER MESH OPERATOR.
+// sendSignal sends a signal to a background command that has a word among its arguments: signal SIGNAL WORD.
+func sendSignal(ts *testscript.TestScript, _ bool, args []string) {
+	signals := map[string]os.Signal{"STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM}
+	for _, command := range ts.BackgroundCmds() {
+		if slices.Contains(command.Args, args[1]) {
+			ts.Check(command.Process.Signal(signals[args[0]]))
+			return
+		}
+	}
+	ts.Fatalf("no background command with %q", args[1])
+}
+
+// config writes the settings file of an entry: config FILE NAME CALLER MESH OPERATOR [SEED].
 func config(ts *testscript.TestScript, _ bool, args []string) {
+	const withoutSeed = 5
+	seeds := "[]"
+	if len(args) > withoutSeed {
+		seeds = "[" + strconv.Quote(args[withoutSeed]) + "]"
+	}
 	text := strings.NewReplacer(
-		"$NAME", args[1], "$CALLER", args[2], "$MESH", args[3], "$OPERATOR", args[4],
+		"$SEEDS", seeds, "$NAME", args[1], "$CALLER", args[2], "$MESH", args[3], "$OPERATOR", args[4],
 		"$STORE", ts.Getenv("STORE"), "$SETTINGS", ts.MkAbs("fleet.toml"),
 	).Replace(entryTemplate)
 	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o600))
@@ -81,6 +101,7 @@
 CallerAddress = "$CALLER"
 MeshAddress = "$MESH"
 OperatorAddress = "$OPERATOR"
+Seeds = $SEEDS
 
 [Platform]
 StoreAddress = "$STORE"
--- a/internal/applatform/http/http.go
+++ b/internal/applatform/http/http.go
@@ -3,13 +3,12 @@
 package http
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"net/netip"
 	"time"
 
+	"auburnport/internal/apcall"
 	"auburnport/internal/applatform"
 	"auburnport/pkg/apcode"
 	"auburnport/pkg/apfleet"
@@ -21,8 +20,7 @@
 	pathReturn  = "/platform/return"
 	pathRestart = "/platform/restart"
 
-	callTimeout  = 2 * time.Second
-	maxBodyBytes = 8 << 20
+	callTimeout = 2 * time.Second
 )
 
 // known is the body of a request for the list.
@@ -80,16 +78,7 @@
 
 func (p *Platform) call(ctx context.Context, path string, body any) (reply, error) {
 	var r reply
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, p.base+path, bytes.NewReader(apfleet.Encode(body)))
-	if err != nil {
-		return r, apcode.Wrapf(apcode.PlatformFailed, err, "%s", path)
-	}
-	response, err := p.client.Do(request)
-	if err != nil {
-		return r, apcode.Wrapf(apcode.PlatformFailed, err, "%s", path)
-	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+	data, err := apcall.Post(ctx, p.client, p.base+path, apfleet.Encode(body))
 	if err != nil {
 		return r, apcode.Wrapf(apcode.PlatformFailed, err, "%s", path)
 	}
@@ -120,19 +109,16 @@
 }
 
 func handle[T apfleet.Checker](mux *http.ServeMux, path string, serve func(context.Context, T) (apfleet.VMList, error)) {
-	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
-		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-		if err != nil {
-			return
-		}
+	apcall.Handle(mux, path, func(ctx context.Context, data []byte) []byte {
 		var message T
 		var answer reply
-		if err = apfleet.Decode(data, &message); err == nil {
-			answer.List, err = serve(r.Context(), message)
+		err := apfleet.Decode(data, &message)
+		if err == nil {
+			answer.List, err = serve(ctx, message)
 		}
 		if err != nil {
 			answer = reply{Code: apcode.Of(err), Detail: err.Error()}
 		}
-		_, _ = w.Write(apfleet.Encode(answer))
+		return apfleet.Encode(answer)
 	})
 }
--- a/pkg/apstore/http/http.go
+++ b/pkg/apstore/http/http.go
@@ -3,9 +3,7 @@
 package http
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -13,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"auburnport/internal/apcall"
 	"auburnport/pkg/apcode"
 	"auburnport/pkg/apfleet"
 	"auburnport/pkg/apstore"
@@ -26,8 +25,6 @@
 	pathGrant  = "/store/grant"
 	pathRenew  = "/store/renew"
 	pathRevoke = "/store/revoke"
-
-	maxBodyBytes = 8 << 20
 )
 
 // query is the body of every request but a swap.
@@ -126,20 +123,10 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var r reply
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, s.base+path, bytes.NewReader(apfleet.Encode(body)))
-	if err != nil {
-		return r, apcode.Wrapf(apcode.StoreUnavailable, err, "%s", path)
-	}
-	request.GetBody = nil
-	response, err := s.client.Do(request)
+	data, err := apcall.Post(ctx, s.client, s.base+path, apfleet.Encode(body))
 	if err != nil {
 		return r, callError(err, path)
 	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
-	if err != nil {
-		return r, apcode.Wrapf(apcode.StoreUnknown, err, "%s", path)
-	}
 	if err := apfleet.Decode(data, &r); err != nil {
 		return r, apcode.Wrapf(apcode.StoreUnknown, err, "%s", path)
 	}
@@ -191,19 +178,16 @@
 }
 
 func handle[T apfleet.Checker](mux *http.ServeMux, path string, serve func(context.Context, T) (reply, error)) {
-	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
-		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-		if err != nil {
-			return
-		}
+	apcall.Handle(mux, path, func(ctx context.Context, data []byte) []byte {
 		var message T
 		var answer reply
-		if err = apfleet.Decode(data, &message); err == nil {
-			answer, err = serve(r.Context(), message)
+		err := apfleet.Decode(data, &message)
+		if err == nil {
+			answer, err = serve(ctx, message)
 		}
 		if err != nil {
 			answer = reply{Code: apcode.Of(err), Detail: err.Error()}
 		}
-		_, _ = w.Write(apfleet.Encode(answer))
+		return apfleet.Encode(answer)
 	})
 }
