Moves: replay of traces; a move is made only where it is expected to pay

Change: replay and trace commands (virtual time, seeded); Planned learns how long pools stay short, and moves only when what is left is worth two move times and the move's weight; a need that falls has no time left. Ruled out while tuning: elapsed time alone (moved in the tail of the estimate), halving alone (a spell that never ends).

--- a/internal/apcommand/apcommand.go
+++ b/internal/apcommand/apcommand.go
@@ -49,6 +49,7 @@
 	a.addLoad()
 	a.addTry()
 	a.addBench()
+	a.addReplay()
 	a.addSettings()
 	a.addFleet()
 	_, err := a.kingpin.Parse(args)
--- /dev/null
+++ b/internal/aptrace/aptrace_test.go
@@ -0,0 +1,61 @@
+package aptrace_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"auburnport/internal/aptrace"
+	"auburnport/pkg/apcode"
+)
+
+// TestPlannedRefusesNoMoreThanReactive replays every family with turns below, near and above the length at
+// which moving pays. Uneven is not used for tuning.
+func TestPlannedRefusesNoMoreThanReactive(t *testing.T) {
+	for _, family := range aptrace.Families() {
+		for _, turn := range []float64{8, 16, 60, 600} {
+			t.Run(fmt.Sprintf("%s/%g", family, turn), func(t *testing.T) {
+				trace, err := aptrace.Generate(family, 1, turn, 4, 1)
+				assert.NilError(t, err)
+				results := aptrace.Compare(trace)
+				static, reactive, planned := results[0], results[1], results[2]
+				assert.Assert(t, planned.ShortHours <= reactive.ShortHours, "%v", results)
+				assert.Equal(t, planned.Breaches, 0)
+				assert.Equal(t, static.Moves, 0)
+			})
+		}
+	}
+}
+
+func TestNothingMovesWhereMovingCannotPay(t *testing.T) {
+	for _, family := range []string{"Turns", "RackLost", "FalseBurst"} {
+		trace, err := aptrace.Generate(family, 2, 8, 4, 1)
+		assert.NilError(t, err)
+		planned := aptrace.Compare(trace)[2]
+		assert.Equal(t, planned.Moves, 0, "%s", family)
+	}
+}
+
+func TestMissedOutcomesAreTold(t *testing.T) {
+	trace, err := aptrace.Generate("Turns", 1, 60, 4, 1)
+	assert.NilError(t, err)
+	trace.Outcomes = []aptrace.Outcome{{Measure: aptrace.MeasureShortfall, AtMost: 1}, {Measure: aptrace.MeasureMoves, AtMost: 0.01}}
+	data, err := json.Marshal(trace)
+	assert.NilError(t, err)
+	parsed, err := aptrace.Parse(data)
+	assert.NilError(t, err)
+	missed := aptrace.Missed(parsed, aptrace.Compare(parsed))
+	assert.DeepEqual(t, missed, trace.Outcomes[1:])
+}
+
+func TestBadTracesAreRefused(t *testing.T) {
+	for _, text := range []string{
+		`{`, `{}`, `{"StepSeconds":1,"Seconds":1,"Pools":[{"Pool":"a"}],"Demand":[{"At":0,"Needs":[1,2]}]}`,
+		`{"StepSeconds":1,"Seconds":1,"Pools":[{"Pool":"a"}],"Outcomes":[{"Measure":"Luck"}]}`,
+	} {
+		_, err := aptrace.Parse([]byte(text))
+		assert.Assert(t, apcode.Is(err, apcode.BadValue), "%s: %v", text, err)
+	}
+}
--- a/pkg/apcontrol/balance.go
+++ b/pkg/apcontrol/balance.go
@@ -31,6 +31,8 @@
 	HighWater, LowWater float64
 	// ShortfallWeight is the cost of one VM's worth of refused demand for an hour.
 	ShortfallWeight float64
+	// MoveTime is how long a moved VM serves nobody.
+	MoveTime time.Duration
 	// MaxOpenMoves bounds the moves under way.
 	MaxOpenMoves int
 }
@@ -42,6 +44,7 @@
 		HighWater:       0.9,
 		LowWater:        0.5,
 		ShortfallWeight: 2000,
+		MoveTime:        4 * time.Second,
 		MaxOpenMoves:    16,
 	}
 }
@@ -69,13 +72,14 @@
 type Balancer struct {
 	options BalanceOptions
 	// owed is the cost of each pool's shortfall that no move has answered yet.
-	owed map[apfleet.PoolName]float64
-	last time.Time
+	owed   map[apfleet.PoolName]float64
+	last   time.Time
+	spells spells
 }
 
 // NewBalancer returns a Balancer without memory.
 func NewBalancer(options BalanceOptions) *Balancer {
-	return &Balancer{options: options, owed: make(map[apfleet.PoolName]float64)}
+	return &Balancer{options: options, owed: make(map[apfleet.PoolName]float64), spells: newSpells()}
 }
 
 // Plan returns the transfers of one tick.
@@ -91,7 +95,7 @@
 	case Reactive:
 		return b.reactive(loads, budget)
 	case Planned:
-		return b.planned(elapsed, loads, budget)
+		return b.planned(now, elapsed, loads, budget)
 	default:
 		return nil
 	}
@@ -129,16 +133,21 @@
 }
 
 // planned lets each pool's shortfall add up to a cost, and pays for one move whenever that cost
-// reaches the cost of a move. A pool that is short for only a moment moves nothing.
-func (b *Balancer) planned(elapsed time.Duration, loads []PoolLoad, budget int) []Transfer {
+// reaches the cost of a move. A pool that is short for only a moment moves nothing, nor does one whose
+// demand is expected to end before the move has paid.
+func (b *Balancer) planned(now time.Time, elapsed time.Duration, loads []PoolLoad, budget int) []Transfer {
 	var transfers []Transfer
 	for i := range loads {
 		short := b.shortfall(loads[i])
+		b.spells.observe(now, loads[i], b.options.Utilisation)
 		if short <= 0 {
 			b.owed[loads[i].Pool] = 0
 			continue
 		}
 		b.owed[loads[i].Pool] += short * elapsed.Hours() * b.options.ShortfallWeight
+		if !b.pays(now, loads[i]) {
+			continue
+		}
 		wanted := int(math.Ceil(short))
 		for wanted > 0 && len(transfers) < budget && b.owed[loads[i].Pool] >= loads[i].MoveWeight {
 			from := b.donor(loads, i)
@@ -153,6 +162,13 @@
 	return transfers
 }
 
+// pays reports whether a move to a pool is expected to pay. The VM serves nobody during the move, and the
+// pool that gave it lacks it for as long when its own turn comes.
+func (b *Balancer) pays(now time.Time, load PoolLoad) bool {
+	useful := b.spells.remaining(now, load) - 2*b.options.MoveTime
+	return useful.Hours()*b.options.ShortfallWeight >= load.MoveWeight
+}
+
 // shortfall is how many VMs a pool lacks.
 func (b *Balancer) shortfall(load PoolLoad) float64 {
 	return load.Need/b.options.Utilisation - float64(load.Available+load.Arriving)
--- a/pkg/apcontrol/demand.go
+++ b/pkg/apcontrol/demand.go
@@ -88,11 +88,17 @@
 
 func (s *serviceDemand) update(elapsed time.Duration) {
 	concurrency := float64(s.arrived) / elapsed.Seconds() * s.time.Seconds()
+	s.estimate = Smooth(s.estimate, concurrency, elapsed)
+}
+
+// Smooth returns the estimate after an observation that is elapsed later than the one before. It rises
+// faster than it falls.
+func Smooth(estimate, observed float64, elapsed time.Duration) float64 {
 	halfLife := fallHalfLife
-	if concurrency > s.estimate {
+	if observed > estimate {
 		halfLife = riseHalfLife
 	}
-	s.estimate += (concurrency - s.estimate) * (1 - math.Exp2(-elapsed.Seconds()/halfLife.Seconds()))
+	return estimate + (observed-estimate)*(1-math.Exp2(-elapsed.Seconds()/halfLife.Seconds()))
 }
 
 // Estimate returns the requests of a service that run at once.
