--- a/pkg/apcode/apcode.go
+++ b/pkg/apcode/apcode.go
@@ -36,16 +36,15 @@
 
 // Codes of settings.
 const (
-	SettingsSyntax    Code = 2001
-	UnknownKey        Code = 2002
-	BadValue          Code = 2003
-	DuplicateKey      Code = 2004
-	BadAddress        Code = 2005
-	BadPath           Code = 2006
-	NoSuchNode        Code = 2007
-	SettingsConflict  Code = 2008
-	SettingsRegressed Code = 2009
-	MissingKey        Code = 2010
+	SettingsSyntax   Code = 2001
+	UnknownKey       Code = 2002
+	BadValue         Code = 2003
+	DuplicateKey     Code = 2004
+	BadAddress       Code = 2005
+	BadPath          Code = 2006
+	NoSuchNode       Code = 2007
+	SettingsConflict Code = 2008
+	MissingKey       Code = 2010
 )
 
 // Codes of the platform's key-value service and of leases.
@@ -56,21 +55,18 @@
 	ValueTooLarge    Code = 3004
 	LeaseLost        Code = 3005
 	StoreRegressed   Code = 3006
-	NotFound         Code = 3007
 )
 
 // Codes of control.
 const (
-	BudgetExceeded   Code = 4001
-	NoSuchVM         Code = 4002
-	NoSuchPool       Code = 4003
-	VMDisrupted      Code = 4004
-	WaveActive       Code = 4005
-	NoSuchWave       Code = 4006
-	StaleOperation   Code = 4007
-	PlatformFailed   Code = 4008
-	NotControlHolder Code = 4009
-	DataCentreDiffer Code = 4010
+	BudgetExceeded Code = 4001
+	NoSuchVM       Code = 4002
+	NoSuchPool     Code = 4003
+	VMDisrupted    Code = 4004
+	WaveActive     Code = 4005
+	NoSuchWave     Code = 4006
+	StaleOperation Code = 4007
+	PlatformFailed Code = 4008
 )
 
 // Codes of the mesh between entries.
@@ -84,13 +80,6 @@
 	ReplyLost       Code = 5007
 )
 
-// Codes of jobs and tasks.
-const (
-	JobNeverFits  Code = 6001
-	QuotaExceeded Code = 6002
-	NoSuchTask    Code = 6003
-)
-
 // InvariantBroken is the code of a measurement that found a broken promise.
 const InvariantBroken Code = 7001
 
