Moves: ExpectedTurn before the first peak was seen, stop times learnt

Ruled out: budgets, stale orders (none in the log). Change: a setting says how long peaks last before any was seen; the time of a stop is learnt from stops that ended.

--- a/pkg/apcontrol/balance.go
+++ b/pkg/apcontrol/balance.go
@@ -31,7 +31,7 @@
 	HighWater, LowWater float64
 	// ShortfallWeight is the cost of one VM's worth of refused demand for an hour.
 	ShortfallWeight float64
-	// MoveTime is how long a moved VM serves nobody.
+	// MoveTime is how long a moved VM serves nobody, until stops have been observed.
 	MoveTime time.Duration
 	// MaxOpenMoves bounds the moves under way.
 	MaxOpenMoves int
@@ -44,7 +44,7 @@
 		HighWater:       0.9,
 		LowWater:        0.5,
 		ShortfallWeight: 2000,
-		MoveTime:        4 * time.Second,
+		MoveTime:        2 * time.Second,
 		MaxOpenMoves:    16,
 	}
 }
@@ -60,6 +60,8 @@
 	Need       float64
 	Spare      bool
 	MoveWeight float64
+	// ExpectedTurn stands for the mean length of spells before the first has ended.
+	ExpectedTurn time.Duration
 }
 
 // Transfer is a decision to move one VM from one pool to another.
@@ -162,6 +164,11 @@
 	return transfers
 }
 
+// ObserveStop learns how long a VM serves nobody when it is drained and restarted.
+func (b *Balancer) ObserveStop(length time.Duration) {
+	b.options.MoveTime += (length - b.options.MoveTime) / stopWeight
+}
+
 // pays reports whether a move to a pool is expected to pay. The VM serves nobody during the move, and the
 // pool that gave it lacks it for as long when its own turn comes.
 func (b *Balancer) pays(now time.Time, load PoolLoad) bool {
@@ -193,7 +200,11 @@
 	return best
 }
 
-const spareAdvantage = 1000
+const (
+	spareAdvantage = 1000
+	// stopWeight is the inverse weight of the newest stop in the moving average.
+	stopWeight = 8
+)
 
 // transfer applies a move to the loads, so that the next decision of the tick sees it.
 func transfer(loads []PoolLoad, from, to int, reason string) Transfer {
--- a/pkg/apcontrol/disruption.go
+++ b/pkg/apcontrol/disruption.go
@@ -14,6 +14,7 @@
 	for p := range v.pools {
 		for _, row := range v.pools[p].rows {
 			steps := v.advance(&v.pools[p], row)
+			c.observeStop(v, row, steps)
 			v.markWritten(p, steps)
 			intents = append(intents, steps...)
 		}
@@ -21,6 +22,19 @@
 	return intents
 }
 
+// observeStop learns from a stop that ends with the VM serving again.
+func (c *Control) observeStop(v *view, row apfleet.Disruption, steps []Intent) {
+	i, listed := v.byVM[row.VM]
+	if !listed || v.vms[i].Generation <= row.Generation {
+		return
+	}
+	for _, step := range steps {
+		if _, ends := step.(CloseDisruption); ends {
+			c.balancer.ObserveStop(v.Now.Sub(row.Started))
+		}
+	}
+}
+
 // markWritten notes that a pool's table is written in this tick, so that nothing else is added to it
 // at a revision that is about to pass.
 func (v *view) markWritten(pool int, steps []Intent) {
--- a/pkg/apcontrol/rebalance.go
+++ b/pkg/apcontrol/rebalance.go
@@ -29,11 +29,12 @@
 func (c *Control) poolLoad(v *view, p int) PoolLoad {
 	pool := &v.pools[p]
 	load := PoolLoad{
-		Pool:       pool.name,
-		Available:  pool.available,
-		Need:       c.demand.Estimate(pool.service) / float64(pool.settings.Slots),
-		Spare:      pool.settings.Spare,
-		MoveWeight: pool.settings.MoveWeight,
+		Pool:         pool.name,
+		Available:    pool.available,
+		Need:         c.demand.Estimate(pool.service) / float64(pool.settings.Slots),
+		Spare:        pool.settings.Spare,
+		MoveWeight:   pool.settings.MoveWeight,
+		ExpectedTurn: pool.settings.ExpectedTurn,
 	}
 	if v.writable(p) {
 		load.Removable = v.removable(p)
--- a/pkg/apcontrol/spell.go
+++ b/pkg/apcontrol/spell.go
@@ -65,6 +65,10 @@
 	if !active || load.Need < spellFalling*current.peak {
 		return 0
 	}
+	mean := s.mean
+	if mean == 0 {
+		mean = load.ExpectedTurn
+	}
 	elapsed := now.Sub(current.since)
-	return max(s.mean-elapsed, elapsed)
+	return max(mean-elapsed, elapsed)
 }
--- a/pkg/apsettings/apsettings.go
+++ b/pkg/apsettings/apsettings.go
@@ -54,6 +54,8 @@
 	BufferWeight *float64 `toml:"BufferWeight,omitempty" cbor:"BufferWeight,omitempty"`
 	// MoveWeight is the cost of one move.
 	MoveWeight *float64 `toml:"MoveWeight,omitempty" cbor:"MoveWeight,omitempty"`
+	// ExpectedTurn is how long a pool's peak of demand is expected to last before any was seen; 0 when unknown.
+	ExpectedTurn *Duration `toml:"ExpectedTurn,omitempty" cbor:"ExpectedTurn,omitempty"`
 	// ClaimWindow is how long a request id is remembered.
 	ClaimWindow *Duration `toml:"ClaimWindow,omitempty" cbor:"ClaimWindow,omitempty"`
 }
@@ -80,6 +82,7 @@
 	WaveParallel      int
 	BufferWeight      float64
 	MoveWeight        float64
+	ExpectedTurn      time.Duration
 	ClaimWindow       time.Duration
 }
 
--- a/pkg/apsettings/values.go
+++ b/pkg/apsettings/values.go
@@ -35,6 +35,7 @@
 		positive("ConnectionFresh", v.ConnectionFresh),
 		positive("DrainTimeout", v.DrainTimeout),
 		positive("ClaimWindow", v.ClaimWindow),
+		notNegative("ExpectedTurn", v.ExpectedTurn),
 		between("MaxAttempts", v.MaxAttempts, 1, 10),
 		between("RetryShare", v.RetryShare, 0, 1),
 		between("QueueLimit", v.QueueLimit, 0, 100_000),
@@ -62,6 +63,13 @@
 	return nil
 }
 
+func notNegative(key string, value *Duration) error {
+	if value != nil && *value < 0 {
+		return fmt.Errorf("%s is %v; it must not be below 0s", key, time.Duration(*value))
+	}
+	return nil
+}
+
 func between[T int | float64](key string, value *T, least, most T) error {
 	if value != nil && (*value < least || *value > most) {
 		return fmt.Errorf("%s is %v; it must be from %v to %v", key, *value, least, most)
