Scenarios have addresses of their own; replay reads its rows once

Change: each scenario has a loopback address of its own and fixed ports; replay keeps its row. Conclusion: the verdict no longer depends on which ports the system gives out.

--- a/internal/apcommand/scenario_test.go
+++ b/internal/apcommand/scenario_test.go
@@ -1,12 +1,13 @@
 package apcommand_test
 
 import (
-	"net"
+	"net/netip"
 	"os"
 	"regexp"
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 
@@ -21,18 +22,16 @@
 	})
 }
 
-// TestScenarios runs the scenarios of testdata. $PORTn are free ports; until repeats a command until
+// TestScenarios runs the scenarios of testdata. $STORE, $CALLERn, $MESHn and $OPERATORn are
+// addresses; until repeats a command until
 // it succeeds and prints a text.
 func TestScenarios(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
-			for _, name := range []string{"STORE", "CALLER1", "MESH1", "OPERATOR1", "CALLER2", "MESH2", "OPERATOR2", "CALLER3", "MESH3", "OPERATOR3"} {
-				port, err := freePort()
-				if err != nil {
-					return err
-				}
-				env.Setenv(name, port)
+			host := nextHost()
+			for i, name := range addressNames() {
+				env.Setenv(name, netip.AddrPortFrom(host, uint16(firstPort+i)).String())
 			}
 			return nil
 		},
@@ -40,15 +39,22 @@
 	})
 }
 
-// freePort returns an address at which nothing listens, apart from the loopback address at which the
-// stand-in's backend servers take ports.
-func freePort() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.2:0")
-	if err != nil {
-		return "", err
+// firstPort is below the ports that the system gives out by itself.
+const firstPort = 7001
+
+// hosts counts the scenarios of this process.
+var hosts atomic.Uint32
+
+// nextHost returns a loopback address that no other scenario uses, so that their ports cannot meet.
+func nextHost() netip.Addr {
+	pid := os.Getpid()
+	return netip.AddrFrom4([4]byte{127, byte(1 + pid>>8%200), byte(pid), byte(1 + hosts.Add(1))})
+}
+
+func addressNames() []string {
+	return []string{
+		"STORE", "CALLER1", "MESH1", "OPERATOR1", "CALLER2", "MESH2", "OPERATOR2", "CALLER3", "MESH3", "OPERATOR3",
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
 }
 
 const maxTries = 400
--- a/internal/aptrace/replay.go
+++ b/internal/aptrace/replay.go
@@ -28,7 +28,9 @@
 	// arriving holds the VMs on their way.
 	arriving  []arrival
 	estimates []float64
-	result    Result
+	// row is the row of the demand that holds.
+	row    int
+	result Result
 }
 
 type arrival struct {
@@ -93,15 +95,16 @@
 	}
 }
 
+// needs returns the demand of a moment; moments are asked for in order.
 func (r *replay) needs(now float64) []float64 {
-	needs := make([]float64, len(r.trace.Pools))
-	for _, row := range r.trace.Demand {
-		if row.At > now {
-			break
-		}
-		needs = row.Needs
+	rows := r.trace.Demand
+	for r.row+1 < len(rows) && rows[r.row+1].At <= now {
+		r.row++
+	}
+	if len(rows) == 0 || rows[r.row].At > now {
+		return make([]float64, len(r.trace.Pools))
 	}
-	return needs
+	return rows[r.row].Needs
 }
 
 func (r *replay) serving(i int) int { return max(r.available[i]-r.lost[i], 0) }
