Stand-in: workers that run tasks under leases; try ends within a minute

Cause: the stand-in lacked workers; a trial with moves and a wave could last longer than a minute. Conclusion: placement can be built against it.

--- a/internal/apcommand/load.go
+++ b/internal/apcommand/load.go
@@ -106,7 +106,7 @@
 	command := flags.add(a, "try", "Run stand-ins, entries and callers in one process for less than a minute.", func(ctx context.Context) error {
 		return a.try(ctx, &flags, entries, trialChoice{deployment, strategy, policy, logFile})
 	})
-	command.Flag("duration", "How long to send requests.").Default("32s").DurationVar(&flags.options.Duration)
+	command.Flag("duration", "How long to send requests.").Default("24s").DurationVar(&flags.options.Duration)
 	command.Flag("entries", "Number of entries.").Default("9").IntVar(&entries)
 	command.Flag("deployment", "Example settings: cavyhaven or thibodeaux.").Default("cavyhaven").EnumVar(&deployment, "cavyhaven", "thibodeaux")
 	command.Flag("strategy", "How slots are shared among entries.").Default("least-loaded").EnumVar(&strategy, "least-loaded", "two-choices", "owned-slots")
--- a/internal/apstandin/server.go
+++ b/internal/apstandin/server.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"auburnport/internal/applatform"
 	platformhttp "auburnport/internal/applatform/http"
 	"auburnport/pkg/apcode"
 	"auburnport/pkg/apfleet"
@@ -25,8 +26,9 @@
 
 // Standin is the platform and the backend servers in one process.
 type Standin struct {
-	Fleet *Fleet
-	Store *Store
+	Fleet   *Fleet
+	Store   *Store
+	Workers *Workers
 
 	memory   *memory.Store
 	listener net.Listener
@@ -45,7 +47,18 @@
 		return nil, err
 	}
 	inner := memory.New()
-	return &Standin{Fleet: fleet, Store: NewStore(inner), memory: inner, listener: listener, group: group}, nil
+	return &Standin{Fleet: fleet, Store: NewStore(inner), Workers: standinWorkers(fleet), memory: inner, listener: listener, group: group}, nil
+}
+
+// standinWorkers returns a worker for each VM: 32 processors, 64 GB and two accelerators, whose tasks take
+// half as much again as they declare.
+func standinWorkers(fleet *Fleet) *Workers {
+	capacity := applatform.Resources{Processors: 32_000, Memory: 64 << 30, Accelerators: 2}
+	var rows []applatform.Worker
+	for _, vm := range fleet.Now().VMs {
+		rows = append(rows, applatform.Worker{Worker: vm.ID, Rack: vm.Rack, Capacity: capacity})
+	}
+	return NewWorkers(WorkerOptions{UsageFactor: 1.5, UsageLag: 2 * time.Second}, rows)
 }
 
 // Address returns where the platform answers.
@@ -79,6 +92,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/store/", storehttp.Handler(s.Store))
 	mux.Handle("/platform/", platformhttp.Handler(s.Fleet, s.Fleet))
+	mux.Handle("/workers/", platformhttp.WorkersHandler(s.Workers))
 	mux.HandleFunc("GET "+pathReport, func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write(apfleet.Encode(s.Report()))
 	})
--- a/pkg/apcode/apcode.go
+++ b/pkg/apcode/apcode.go
@@ -80,6 +80,12 @@
 	ReplyLost       Code = 5007
 )
 
+// Codes of tasks.
+const (
+	NoSuchTask     Code = 6003
+	TaskDoesNotFit Code = 6004
+)
+
 // InvariantBroken is the code of a measurement that found a broken promise.
 const InvariantBroken Code = 7001
 
--- a/pkg/apcode/descriptions.go
+++ b/pkg/apcode/descriptions.go
@@ -52,6 +52,8 @@
 		{SendQueueFull, "SendQueueFull", http.StatusServiceUnavailable, false, "The bounded queue of messages to a peer is full.", "The message is dropped; replication repairs it later."},
 		{StaleView, "StaleView", http.StatusConflict, false, "The sender knows an older registry of entries than the receiver.", "It is tried again once the newer registry has arrived."},
 		{ReplyLost, "ReplyLost", http.StatusServiceUnavailable, false, "A message was sent to a peer and its reply did not come.", "It may have been handled; the sender takes it back or asks again."},
+		{NoSuchTask, "NoSuchTask", http.StatusNotFound, false, "No such task runs on the worker.", "Nothing; it has ended or its lease has lapsed."},
+		{TaskDoesNotFit, "TaskDoesNotFit", http.StatusConflict, false, "The worker has no room for what the task declares.", "Start it on another worker."},
 		{InvariantBroken, "InvariantBroken", http.StatusInternalServerError, false, "A load or a trial found a broken invariant.", "Report it with the command, the seed and the table."},
 	}
 }
