Settings: a bad address has its own code, with line and key

Cause: CallerAddress = "localhost:1" was refused as 2003 with the words of the parser, not as 2005 with what is allowed; the scenario accepted either.

--- a/pkg/apsettings/toml.go
+++ b/pkg/apsettings/toml.go
@@ -58,8 +58,14 @@
 	if errors.As(err, &decode) {
 		line, column := decode.Position()
 		key := strings.Join(decode.Key(), ".")
+		if isAddress(decode) {
+			return apcode.Errorf(apcode.BadAddress, "%s:%d:%d: key %s: it must be an IP number and a port such as 127.0.0.1:8080", file, line, column, orUnknown(key))
+		}
 		return apcode.Errorf(decodeCode(decode), "%s:%d:%d: key %s: %v", file, line, column, orUnknown(key), decode)
 	}
+	if isAddress(err) {
+		return apcode.Errorf(apcode.BadAddress, "%s: an address must be an IP number and a port such as 127.0.0.1:8080", file)
+	}
 	return apcode.Errorf(apcode.SettingsSyntax, "%s: %v", file, err)
 }
 
@@ -72,6 +78,12 @@
 	return apcode.Errorf(apcode.UnknownKey, "%s", strings.Join(lines, "; "))
 }
 
+// isAddress reports whether a value failed as an IP number and port: net/netip has no error type.
+func isAddress(err error) bool {
+	text := err.Error()
+	return strings.Contains(text, "ParseAddr") || strings.Contains(text, "ip:port") || strings.Contains(text, "invalid port")
+}
+
 // decodeCode tells a duplicate and a bad value from bad syntax.
 func decodeCode(err *toml.DecodeError) apcode.Code {
 	text := err.Error()
