Read again: one reply and one call for the platform, one turn for the queue

Cause: the client and the handler of workers repeated those of the platform; every 100 ms each entry gave its waiting requests their turn twice; a comment on waves promised an order that is not there. Change: workers use the platform's reply, call and handler; Entry.Tick and gate.next, which ApplyRemote already does, are gone; two comments say what is done. No timing was taken. Conclusion: behaviour is as before.

--- a/internal/apdaemon/loops.go
+++ b/internal/apdaemon/loops.go
@@ -49,7 +49,6 @@
 		d.state.notify()
 	}
 	d.entry.ApplyRemote(now, d.self.Name, remotes)
-	d.entry.Tick(now)
 }
 
 // watchState applies each change of the state to routing.
--- a/internal/apentry/apentry.go
+++ b/internal/apentry/apentry.go
@@ -101,7 +101,7 @@
 	return g, ok
 }
 
-// Gates calls visit for each service in no order.
+// visit calls visit for each service in no order.
 func (e *Entry) visit(visit func(*gate)) {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
@@ -119,11 +119,6 @@
 // Wait returns when every attempt under way has ended.
 func (e *Entry) Wait() error { return e.group.Wait() }
 
-// Tick gives waiting requests their turn and expires those whose deadline has passed.
-func (e *Entry) Tick(now time.Time) {
-	e.visit(func(g *gate) { g.next(now) })
-}
-
 // ServeHTTP answers one caller.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.inFlight.Add(1)
--- a/internal/apentry/gate.go
+++ b/internal/apentry/gate.go
@@ -58,12 +58,6 @@
 	return g.connCap
 }
 
-func (g *gate) next(now time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.balancer.Next(now)
-}
-
 // acquire waits until the request has an instance or is refused.
 func (g *gate) acquire(ctx context.Context, ticket *aproute.Ticket, deadline time.Time) aproute.Decision {
 	ready := make(chan aproute.Decision, 1)
--- a/internal/apentry/report.go
+++ b/internal/apentry/report.go
@@ -16,7 +16,8 @@
 	Report apmesh.Report
 }
 
-// ApplyRemote tells every service of the load and demand at the other entries.
+// ApplyRemote tells every service of the load and demand at the other entries, and gives waiting requests
+// their turn.
 func (e *Entry) ApplyRemote(now time.Time, self apfleet.EntryName, remotes []Remote) {
 	loads := make(map[apfleet.VMID]int)
 	demands := make(map[apfleet.ServiceName][]aproute.Share)
--- a/internal/applatform/http/http.go
+++ b/internal/applatform/http/http.go
@@ -33,13 +33,19 @@
 
 // reply is the body of every answer.
 type reply struct {
-	Code   apcode.Code    `cbor:"Code"`
-	Detail string         `cbor:"Detail"`
-	List   apfleet.VMList `cbor:"List"`
+	Code    apcode.Code           `cbor:"Code"`
+	Detail  string                `cbor:"Detail"`
+	List    apfleet.VMList        `cbor:"List"`
+	Workers applatform.WorkerList `cbor:"Workers"`
 }
 
-// Check checks the list.
-func (r reply) Check() error { return r.List.Check() }
+// Check checks the lists.
+func (r reply) Check() error {
+	if err := r.List.Check(); err != nil {
+		return err
+	}
+	return r.Workers.Check()
+}
 
 // Platform is a client of the platform's interfaces.
 type Platform struct {
@@ -94,12 +100,13 @@
 // Handler serves the platform's interfaces over HTTP.
 func Handler(lister applatform.Lister, pools applatform.Pools) http.Handler {
 	mux := http.NewServeMux()
-	handle(mux, pathList, func(ctx context.Context, k known) (apfleet.VMList, error) {
-		return lister.List(ctx, k.Version)
+	handle(mux, pathList, func(ctx context.Context, k known) (r reply, err error) {
+		r.List, err = lister.List(ctx, k.Version)
+		return r, err
 	})
 	order := func(path string, act func(context.Context, applatform.Operation) error) {
-		handle(mux, path, func(ctx context.Context, o applatform.Operation) (apfleet.VMList, error) {
-			return apfleet.VMList{}, act(ctx, o)
+		handle(mux, path, func(ctx context.Context, o applatform.Operation) (reply, error) {
+			return reply{}, act(ctx, o)
 		})
 	}
 	order(pathDrain, pools.Drain)
@@ -108,13 +115,13 @@
 	return mux
 }
 
-func handle[T apfleet.Checker](mux *http.ServeMux, path string, serve func(context.Context, T) (apfleet.VMList, error)) {
+func handle[T apfleet.Checker](mux *http.ServeMux, path string, serve func(context.Context, T) (reply, error)) {
 	apcall.Handle(mux, path, func(ctx context.Context, data []byte) []byte {
 		var message T
 		var answer reply
 		err := apfleet.Decode(data, &message)
 		if err == nil {
-			answer.List, err = serve(ctx, message)
+			answer, err = serve(ctx, message)
 		}
 		if err != nil {
 			answer = reply{Code: apcode.Of(err), Detail: err.Error()}
--- a/pkg/apcontrol/wave.go
+++ b/pkg/apcontrol/wave.go
@@ -93,8 +93,8 @@
 // writable reports whether the pool's table of disruptions has not been changed in this tick.
 func (v *view) writable(pool int) bool { return !v.pools[pool].written }
 
-// waveCandidates returns the VMs that the wave has not rebooted: VMs that serve nobody first, then
-// rack by rack, the racks whose pools have most headroom first.
+// waveCandidates returns the VMs that the wave has not rebooted, rack by rack, the racks whose pools have
+// most headroom first.
 func (v *view) waveCandidates(wave apfleet.Wave) []int {
 	headroom := make(map[apfleet.Rack]int)
 	var candidates []int
