--- /dev/null
+++ b/cmd/auburnport-node/main.go
@@ -0,0 +1,63 @@
+// Command auburnport-node is one entry of auburnport on the users' platform. It reads the settings file
+// that the platform lays beside it and serves until SIGTERM.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"golang.org/x/sync/errgroup"
+
+	"auburnport/internal/aplog"
+	"auburnport/internal/apnode"
+	"auburnport/platform"
+)
+
+const (
+	// memoryShare is the part of the machine's memory limit that the runtime aims at.
+	memoryShare = 0.5
+	// collectAt is the growth of the heap, in percent, at which garbage is collected.
+	collectAt = 50
+	megabyte  = 1 << 20
+)
+
+func main() {
+	app := kingpin.New("auburnport-node", "One entry of auburnport on the users' platform.")
+	file := app.Flag("settings", "Settings file; by default the one that the platform names.").Default(apadapter.SettingsFile()).String()
+	level := app.Flag("log-level", "One of error, warn, info, debug.").Default("info").String()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if err := run(*file, *level); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(file, level string) error {
+	settings, err := apadapter.ReadSettings(file)
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(collectAt)
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory*megabyte)))
+	lines := aplog.NewAsync()
+	logger, err := aplog.New(lines, level, aplog.FormatText)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	logging, done := context.WithCancel(context.Background())
+	group := &errgroup.Group{}
+	group.Go(func() error { return lines.Run(logging, os.Stdout) })
+	err = apnode.New(settings, logger).Run(ctx)
+	done()
+	_ = group.Wait()
+	return err
+}
--- /dev/null
+++ b/internal/apnode/apnode.go
@@ -0,0 +1,234 @@
+// Package apnode composes one entry on the users' platform: callers' side, sharing of shards, and the
+// shards that it owns.
+package apnode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/negroni/v3"
+	"golang.org/x/sync/errgroup"
+
+	"auburnport/internal/apintake"
+	"auburnport/internal/apmember"
+	"auburnport/internal/apowner"
+	"auburnport/pkg/apcode"
+	"auburnport/pkg/apfleet"
+	"auburnport/pkg/apjob"
+	"auburnport/pkg/apjournal"
+	"auburnport/pkg/apqueue"
+	"auburnport/pkg/apscheduler"
+	"auburnport/pkg/apstore"
+	"auburnport/platform"
+)
+
+const (
+	// settingsWait is how long a watch of the operators' settings may wait; its end confirms them.
+	settingsWait = 700 * time.Millisecond
+	// settingsBackoff is the pause after a failed watch.
+	settingsBackoff = 100 * time.Millisecond
+	// freshness is the part of the time within which settings must be in force for which they are
+	// trusted without confirmation.
+	freshness = 0.9
+	// drainTime is how long an entry serves on after SIGTERM: the balancer needs two checks, a
+	// second apart, to send new callers elsewhere.
+	drainTime = 2500 * time.Millisecond
+	// closeTime bounds the rest of the requests after that.
+	closeTime = 2 * time.Second
+	// metricsOffset is the metrics port, counted from the first free one.
+	metricsOffset = 5
+	// workerConnections bounds the connections of this entry to one worker.
+	workerConnections = 6
+	// leaseShare is the part of the longest lease that a worker's lease uses at most.
+	leaseShare = 0.8
+	// usualLease outlasts a takeover, and is short enough to place the tasks of a lost worker again
+	// while they are still worth it.
+	usualLease = 4 * time.Second
+)
+
+// Node is one entry.
+type Node struct {
+	settings apadapter.Settings
+	logger   *logrus.Logger
+	metrics  metrics.Registry
+	store    *apadapter.Store
+	workers  *apadapter.Workers
+	intake   *apintake.Intake
+	callers  *apadapter.Callers
+	member   *apmember.Member
+	table    atomic.Pointer[apqueue.Table]
+}
+
+// New composes an entry.
+func New(settings apadapter.Settings, logger *logrus.Logger) *Node {
+	n := &Node{settings: settings, logger: logger, metrics: metrics.NewRegistry()}
+	n.store = apadapter.NewStore(apadapter.NewClient(0), settings.Store)
+	n.workers = apadapter.NewWorkers(apadapter.NewClient(workerConnections))
+	options := apintake.DefaultOptions()
+	options.MaxSettingsAge = time.Duration(freshness * float64(settings.Bounds.Config))
+	n.intake = apintake.New(n.store, options, n.logRequest)
+	n.callers = apadapter.NewCallers(n.intake, time.Now)
+	membership := apmember.DefaultOptions()
+	membership.TTL = max(membership.TTL, settings.MinTTL)
+	n.member = apmember.New(n.store, settings.Node, n.shards, n.own, n.logEvent, membership)
+	return n
+}
+
+// Run serves until ctx ends, then leaves: shards first, callers last.
+func (n *Node) Run(ctx context.Context) error {
+	servers, err := n.listen(ctx)
+	if err != nil {
+		return err
+	}
+	n.logEvent("Started", map[string]any{"Node": n.settings.Node, "Callers": n.settings.Callers, "Store": n.settings.Store})
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	background, _ := errgroup.WithContext(serving)
+	background.Go(func() error { return n.followSettings(serving) })
+	for _, s := range servers {
+		background.Go(s.run)
+	}
+	member := &errgroup.Group{}
+	member.Go(func() error { return n.member.Run(ctx) })
+	<-ctx.Done()
+	n.intake.Leave()
+	n.logEvent("Leaving", map[string]any{"Shards": len(n.member.Owned())})
+	drained := time.NewTimer(drainTime)
+	_ = member.Wait()
+	<-drained.C
+	closing, cancel := context.WithTimeout(serving, closeTime)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.server.Shutdown(closing); err != nil {
+			n.logEvent("RequestsCut", map[string]any{"Error": err})
+		}
+	}
+	stop()
+	err = background.Wait()
+	n.logEvent("Stopped", map[string]any{"Error": err})
+	return err
+}
+
+type server struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+func (s *server) run() error {
+	if err := s.server.Serve(s.listener); err != nil && err != http.ErrServerClosed {
+		return apcode.Wrapf(apcode.BadAddress, err, "serve %s", s.listener.Addr())
+	}
+	return nil
+}
+
+func (n *Node) listen(ctx context.Context) ([]*server, error) {
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET /auburnport/ready", n.callers.ServeReady)
+	measured := http.NewServeMux()
+	measured.HandleFunc("GET /metrics", n.serveMetrics)
+	inner := netip.AddrPortFrom(n.settings.Callers.Addr(), n.settings.FirstPort+metricsOffset)
+	var servers []*server
+	for _, s := range []struct {
+		address netip.AddrPort
+		handler http.Handler
+	}{{n.settings.Callers, n.withRecovery(n.callers)}, {n.settings.Ready, ready}, {inner, measured}} {
+		var config net.ListenConfig
+		listener, err := config.Listen(ctx, "tcp", s.address.String())
+		if err != nil {
+			return nil, apcode.Wrapf(apcode.BadAddress, err, "listen on %s", s.address)
+		}
+		servers = append(servers, &server{listener: listener, server: &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTime}})
+	}
+	return servers, nil
+}
+
+// headerTime bounds the reading of a request's head.
+const headerTime = 3 * time.Second
+
+// withRecovery turns a panic into status 500.
+func (n *Node) withRecovery(handler http.Handler) http.Handler {
+	recovery := negroni.NewRecovery()
+	recovery.PrintStack = false
+	recovery.Logger = n.logger
+	stack := negroni.New(recovery)
+	stack.UseHandler(handler)
+	return stack
+}
+
+// followSettings keeps the operators' settings in force.
+func (n *Node) followSettings(ctx context.Context) error {
+	tail := apstore.Tail{Ledger: n.store, Prefix: apadapter.PrefixOperator, Wait: settingsWait, Backoff: settingsBackoff}
+	failing := false
+	return tail.Run(ctx, func(update apstore.Update) {
+		if (update.Err != nil) != failing {
+			failing = update.Err != nil
+			n.logEvent("Store", map[string]any{"Lost": failing, "Error": update.Err})
+		}
+		if update.Err != nil {
+			return
+		}
+		for _, event := range update.Events {
+			if event.Value.Key == apadapter.KeyConfig && !event.Removed {
+				n.applySettings(event.Value)
+			}
+		}
+		n.intake.Confirm(update.Asked)
+	})
+}
+
+func (n *Node) applySettings(value apstore.Value) {
+	table, err := apadapter.ParseConfig(value.Data)
+	if err != nil {
+		n.logEvent("SettingsUnreadable", map[string]any{"Revision": value.Revision, "Error": err})
+		return
+	}
+	if n.intake.Apply(table) {
+		n.table.Store(table)
+		n.logEvent("SettingsApplied", map[string]any{"Version": table.Version, "Queues": len(table.Queues), "Revision": value.Revision})
+	}
+}
+
+// shards lists the shards that must have an owner: one a pool.
+func (n *Node) shards() []apjournal.Shard {
+	table := n.table.Load()
+	if table == nil {
+		return nil
+	}
+	var shards []apjournal.Shard
+	for _, pool := range table.Pools() {
+		shards = append(shards, apjournal.Shard(pool))
+	}
+	return shards
+}
+
+// own runs a shard that this entry has claimed.
+func (n *Node) own(ctx context.Context, shard apjournal.Shard, journal *apjournal.Journal) error {
+	bounds := n.settings.Bounds
+	owner := apowner.New(apowner.Config{
+		Shard: shard, Ledger: n.store, Workers: n.workers, Registry: registry{}, Journal: journal,
+		Queues: n.table.Load, Log: n.logEvent, Observe: n.observe,
+		Scheduler: []apscheduler.Option{apscheduler.WithOptions(func(o *apscheduler.Options) {
+			o.MaxLease = bounds.MaxLease
+			o.Lease = min(usualLease, time.Duration(leaseShare*float64(bounds.MaxLease)))
+			o.StopTime = bounds.StopTime
+			o.FarFactor = bounds.FarFactor
+			o.Notice = bounds.Notice
+		})},
+	})
+	return owner.Run(ctx)
+}
+
+// registry reads the platform's registrations of workers.
+type registry struct{}
+
+// Prefix implements apowner.Registry.
+func (registry) Prefix() apfleet.Key { return apadapter.PrefixWorkers }
+
+// ID implements apowner.Registry.
+func (registry) ID(key apfleet.Key) apjob.WorkerID { return apadapter.WorkerOf(key) }
--- /dev/null
+++ b/internal/apnode/observe.go
@@ -0,0 +1,81 @@
+package apnode
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"auburnport/pkg/apcode"
+	"auburnport/pkg/apfleet"
+	"auburnport/pkg/apjob"
+	"auburnport/pkg/apworker"
+	"auburnport/platform"
+)
+
+// Parse implements apowner.Registry.
+func (registry) Parse(key apfleet.Key, data []byte) (apworker.Info, error) {
+	return apadapter.ParseWorker(key, data)
+}
+
+func (n *Node) logEvent(event string, fields map[string]any) {
+	metrics.GetOrRegisterCounter("event."+event, n.metrics).Inc(1)
+	entry := logrus.Fields{"Event": event}
+	for key, value := range fields {
+		if value != nil {
+			entry[key] = value
+		}
+	}
+	n.logger.WithFields(entry).Info()
+}
+
+func (n *Node) logRequest(event string, id apjob.ID, err error, fields map[string]any) {
+	entry := map[string]any{"Job": id, "Code": uint16(apcode.Of(err)), "SettingsVersion": n.version()}
+	for key, value := range fields {
+		entry[key] = value
+	}
+	if err != nil {
+		entry["Error"] = err
+	}
+	n.logEvent(event, entry)
+}
+
+func (n *Node) version() uint64 {
+	if table := n.table.Load(); table != nil {
+		return table.Version
+	}
+	return 0
+}
+
+// Samples of a histogram of durations.
+const (
+	reservoirSize  = 256
+	reservoirAlpha = 0.015
+)
+
+func (n *Node) observe(name string, d time.Duration) {
+	histogram := n.metrics.GetOrRegister("duration."+name+".us", func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(reservoirSize, reservoirAlpha))
+	})
+	if h, ok := histogram.(metrics.Histogram); ok {
+		h.Update(d.Microseconds())
+	}
+}
+
+// serveMetrics writes all counters and histograms, one line each.
+func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	metrics.GetOrRegisterGauge("shards", n.metrics).Update(int64(len(n.member.Owned())))
+	n.metrics.Each(func(name string, metric any) {
+		switch m := metric.(type) {
+		case metrics.Counter:
+			_, _ = fmt.Fprintf(w, "%s %d\n", name, m.Count())
+		case metrics.Gauge:
+			_, _ = fmt.Fprintf(w, "%s %d\n", name, m.Value())
+		case metrics.Histogram:
+			p := m.Percentiles([]float64{0.5, 0.95, 0.99})
+			_, _ = fmt.Fprintf(w, "%s count=%d p50=%.0f p95=%.0f p99=%.0f max=%d\n", name, m.Count(), p[0], p[1], p[2], m.Max())
+		}
+	})
+}
--- /dev/null
+++ b/internal/apowner/apowner.go
@@ -0,0 +1,268 @@
+// Package apowner runs one shard of jobs while this entry owns it: it takes the state from the store,
+// asks the workers, carries the scheduler's decisions out and stores what they depend on first.
+package apowner
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"auburnport/pkg/apcode"
+	"auburnport/pkg/apfleet"
+	"auburnport/pkg/apjob"
+	"auburnport/pkg/apjournal"
+	"auburnport/pkg/apqueue"
+	"auburnport/pkg/apscheduler"
+	"auburnport/pkg/apstore"
+	"auburnport/pkg/apworker"
+)
+
+// Registry reads registrations of workers.
+type Registry interface {
+	// Prefix is where workers register.
+	Prefix() apfleet.Key
+	// Parse reads a registration. Errors carry BadMessage.
+	Parse(key apfleet.Key, data []byte) (apworker.Info, error)
+	// ID returns the worker that a key names.
+	ID(key apfleet.Key) apjob.WorkerID
+}
+
+// Log receives one decision.
+type Log func(event string, fields map[string]any)
+
+// Config is what an Owner needs.
+type Config struct {
+	Shard     apjournal.Shard
+	Ledger    apstore.Ledger
+	Workers   apworker.Client
+	Registry  Registry
+	Journal   *apjournal.Journal
+	Queues    func() *apqueue.Table
+	Scheduler []apscheduler.Option
+	Log       Log
+	// Observe receives durations by name, for the histograms.
+	Observe func(name string, d time.Duration)
+}
+
+const (
+	// tickTime is how often decisions are taken without an event.
+	tickTime = 100 * time.Millisecond
+	// commitGap is the least time between two writes, so that events share a write.
+	commitGap = 8 * time.Millisecond
+	// registryGap is the least time between two readings of the registrations' changes; a worker
+	// that leaves must get nothing new after about two seconds.
+	registryGap = 250 * time.Millisecond
+	// watchWait is how long a watch may wait for a change.
+	watchWait = 2 * time.Second
+	// watchBackoff is the pause after a failed watch.
+	watchBackoff = 100 * time.Millisecond
+	// busyHold and idleHold are how long a worker may wait with its report: short while it has
+	// runs, whose lease each call extends.
+	busyHold = 700 * time.Millisecond
+	idleHold = 1500 * time.Millisecond
+	// holdBackoff is the pause after a worker didn't answer.
+	holdBackoff = 200 * time.Millisecond
+	// storeBackoff is the pause between reports while ends wait to be stored.
+	storeBackoff = 15 * time.Millisecond
+	// maxOrders bounds the orders under way.
+	maxOrders = 256
+	// waitingGap is how old the stored counts of waiting jobs may be.
+	waitingGap = time.Second
+	// eventQueue bounds the events that wait for the loop.
+	eventQueue = 1024
+)
+
+// Owner runs a shard. Use New.
+type Owner struct {
+	config Config
+	shard  *apscheduler.Shard
+	events chan func(now time.Time)
+	// orders runs orders, a bounded number at once; calls runs the rest.
+	orders *errgroup.Group
+	calls  *errgroup.Group
+	held   map[apjob.WorkerID]bool
+
+	storing   bool
+	storedAt  time.Time
+	wantWrite bool
+	// waiting is what the store has of the counts of waiting jobs.
+	waiting   map[apjob.Queue]int
+	waitingAt time.Time
+	retired   map[apjob.ID]time.Time
+	fatal     error
+	stopping  bool
+	cordons   map[apjob.WorkerID]bool
+}
+
+// New returns an owner of a claimed shard.
+func New(config Config) *Owner {
+	return &Owner{
+		config: config,
+		shard:  apscheduler.New(config.Journal.Fence(), config.Scheduler...),
+		events: make(chan func(time.Time), eventQueue),
+		held:   make(map[apjob.WorkerID]bool),
+	}
+}
+
+// Run owns the shard until ctx ends or another owner takes over. It returns nil after ctx, and
+// gives the shard up before.
+func (o *Owner) Run(ctx context.Context) error {
+	started := time.Now()
+	state, err := o.config.Journal.Load(ctx)
+	if err != nil {
+		return err
+	}
+	o.load(state, time.Now())
+	o.config.Log("ShardOwned", map[string]any{
+		"Shard": o.config.Shard, "Fence": o.config.Journal.Fence(), "Epoch": o.config.Journal.Epoch(),
+		"Jobs": o.shard.Backlog(), "Broken": len(state.Broken), "LoadMs": time.Since(started).Milliseconds(),
+	})
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	group, inner := errgroup.WithContext(inner)
+	o.orders, o.calls = &errgroup.Group{}, &errgroup.Group{}
+	o.orders.SetLimit(maxOrders)
+	group.Go(func() error { return o.followInbox(inner) })
+	group.Go(func() error { return o.followWorkers(inner) })
+	group.Go(func() error {
+		defer cancel()
+		return o.loop(ctx, inner)
+	})
+	err = group.Wait()
+	_ = o.orders.Wait()
+	_ = o.calls.Wait()
+	return err
+}
+
+func (o *Owner) load(state apjournal.State, now time.Time) {
+	o.setQueues()
+	for id, saved := range state.Jobs {
+		age := min(max(time.Since(saved.Job.Submitted), 0), maxAge)
+		if saved.Begun {
+			o.shard.Load(saved.Job, saved.Progress, age, now)
+		} else {
+			o.shard.Submit(saved.Job, age, now)
+		}
+		if saved.Cancelled {
+			o.shard.Cancel(id, now)
+		}
+	}
+	o.retired = state.Retired
+}
+
+// maxAge bounds the age of a job that comes from another entry's time of day, which may be wrong.
+const maxAge = time.Minute
+
+func (o *Owner) setQueues() {
+	table := o.config.Queues()
+	if table == nil {
+		return
+	}
+	queues := make(map[apjob.Queue]apscheduler.Queue, len(table.Queues))
+	for _, q := range table.Queues {
+		queues[q.Name] = apscheduler.Queue{
+			Priority: q.Priority, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Slack: q.Slack, Advised: q.Advice != nil,
+		}
+	}
+	o.shard.SetQueues(queues)
+}
+
+// loop applies events and takes decisions, alone.
+func (o *Owner) loop(ctx, inner context.Context) error {
+	ticker := time.NewTicker(tickTime)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return o.leave(inner)
+		case <-inner.Done():
+			return o.fatal
+		case event := <-o.events:
+			event(time.Now())
+			o.drain()
+		case <-ticker.C:
+			o.setQueues()
+		}
+		if o.fatal != nil {
+			return o.fatal
+		}
+		o.step(inner, time.Now())
+	}
+}
+
+// drain applies the events that are there already.
+func (o *Owner) drain() {
+	for {
+		select {
+		case event := <-o.events:
+			event(time.Now())
+		default:
+			return
+		}
+	}
+}
+
+func (o *Owner) step(ctx context.Context, now time.Time) {
+	if !o.stopping && !o.storing {
+		o.shard.Plan(now, time.Now())
+	}
+	o.store(ctx, now)
+	o.send(ctx, now)
+	o.hold(ctx)
+	o.report()
+}
+
+func (o *Owner) report() {
+	for _, event := range o.shard.TakeEvents() {
+		fields := map[string]any{"Shard": o.config.Shard}
+		if event.Run.Task.Job != "" {
+			fields["Job"] = event.Run.Task.Job
+		}
+		if event.Run.Run > 0 {
+			fields["Task"], fields["Run"] = event.Run.Task, event.Run.Run
+		}
+		if event.Worker != "" {
+			fields["Worker"] = event.Worker
+		}
+		for key, value := range event.Fields {
+			fields[key] = value
+		}
+		o.config.Log(event.What, fields)
+	}
+}
+
+// post hands an event to the loop.
+func (o *Owner) post(ctx context.Context, event func(now time.Time)) bool {
+	select {
+	case o.events <- event:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// leave stores what is known and gives the shard up.
+func (o *Owner) leave(ctx context.Context) error {
+	o.stopping = true
+	deadline := time.NewTimer(leaveTime)
+	defer deadline.Stop()
+	for o.storing || o.shard.BatchDue() {
+		o.store(ctx, time.Now())
+		select {
+		case event := <-o.events:
+			event(time.Now())
+		case <-deadline.C:
+			return apcode.Errorf(apcode.StoreUnavailable, "shard %s: could not be stored before leaving", o.config.Shard)
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaveTime)
+	defer cancel()
+	err := o.config.Journal.Release(ctx)
+	o.report()
+	o.config.Log("ShardReleased", map[string]any{"Shard": o.config.Shard, "Error": err})
+	return err
+}
+
+// leaveTime bounds each part of giving a shard up.
+const leaveTime = 1500 * time.Millisecond
--- a/pkg/apcode/apcode.go
+++ b/pkg/apcode/apcode.go
@@ -55,6 +55,7 @@
 	ValueTooLarge    Code = 3004
 	LeaseLost        Code = 3005
 	StoreRegressed   Code = 3006
+	StoreHistoryLost Code = 3007
 )
 
 // Codes of control.
@@ -84,6 +85,20 @@
 const (
 	NoSuchTask     Code = 6003
 	TaskDoesNotFit Code = 6004
+	BadJob         Code = 6010
+	NoSuchQueue    Code = 6011
+	NoSuchJob      Code = 6012
+	JobUnsettled   Code = 6013
+	SettingsStale  Code = 6014
+	StaleFence     Code = 6020
+	StaleRun       Code = 6021
+	OrderLate      Code = 6022
+	BadTicket      Code = 6023
+	WorkerChanged  Code = 6024
+	WorkerRefused  Code = 6025
+	WorkerSilent   Code = 6026
+	OrderBusy      Code = 6027
+	WorkerGone     Code = 6028
 )
 
 // InvariantBroken is the code of a measurement that found a broken promise.
--- /dev/null
+++ b/pkg/apscheduler/apscheduler.go
@@ -0,0 +1,135 @@
+// Package apscheduler decides for one shard of jobs which task runs where. It does no I/O: facts go
+// in by methods, orders and records to be stored come out.
+package apscheduler
+
+import (
+	"time"
+
+	"auburnport/pkg/apjob"
+	"auburnport/pkg/apworker"
+)
+
+// Order is something to be sent to a worker.
+type Order interface{ order() }
+
+// Start orders a run whose assignment is stored.
+type Start struct {
+	To    apworker.Target
+	Order apworker.StartOrder
+}
+
+// Stop orders the end of a run.
+type Stop struct {
+	To    apworker.Target
+	Order apworker.StopOrder
+}
+
+// Pace throttles a run.
+type Pace struct {
+	To    apworker.Target
+	Order apworker.PaceOrder
+}
+
+func (Start) order() {}
+func (Stop) order()  {}
+func (Pace) order()  {}
+
+// Queue holds the settings of a queue.
+type Queue struct {
+	// Priority orders queues; 0 comes first.
+	Priority int
+	// MaxAttempts is how many runs of a task may fail; at least 1.
+	MaxAttempts int
+	// Stretch times the longest chain of work, plus Slack, is the time in which a job should be done.
+	Stretch float64
+	Slack   time.Duration
+	// Advised tells that starts need a ticket.
+	Advised bool
+}
+
+// Batch is a set of records to be stored together, in one transaction.
+type Batch struct {
+	Records []Record
+	// ends are the ends that the records hold.
+	ends []pendingEnd
+	// planned are the runs that may be ordered once the records are stored.
+	planned []planned
+}
+
+// Record is the new progress of a job.
+type Record struct {
+	Job      apjob.ID
+	Progress apjob.Progress
+	// Retired tells that the job as submitted need not be kept any longer.
+	Retired bool
+}
+
+type planned struct {
+	run    apjob.RunKey
+	worker apjob.WorkerID
+}
+
+type pendingEnd struct {
+	worker apjob.WorkerID
+	number uint64
+	job    apjob.ID
+}
+
+// Shard is the state of one shard. It is used from one goroutine.
+type Shard struct {
+	options Options
+	// fence is above that of every earlier owner.
+	fence   uint64
+	jobs    map[apjob.ID]*job
+	workers map[apjob.WorkerID]*worker
+	queues  map[apjob.Queue]Queue
+	// dirty lists the jobs whose progress is not stored yet, oldest first.
+	dirty []apjob.ID
+	// active holds the jobs that are not final.
+	active map[apjob.ID]*job
+	// learnt corrects estimates of durations.
+	learnt map[durationKey]*average
+	events []Event
+}
+
+// Event is a decision or a change of what the shard believes, for the log.
+type Event struct {
+	What   string
+	Run    apjob.RunKey
+	Worker apjob.WorkerID
+	// Fields are further inputs of the decision.
+	Fields map[string]any
+}
+
+// New returns an empty shard under a fencing token.
+func New(fence uint64, opts ...Option) *Shard {
+	options := defaultOptions()
+	for _, opt := range opts {
+		opt(&options)
+	}
+	return &Shard{
+		options: options,
+		fence:   fence,
+		jobs:    make(map[apjob.ID]*job),
+		active:  make(map[apjob.ID]*job),
+		workers: make(map[apjob.WorkerID]*worker),
+		queues:  make(map[apjob.Queue]Queue),
+		learnt:  make(map[durationKey]*average),
+	}
+}
+
+// SetQueues replaces the settings of all queues.
+func (s *Shard) SetQueues(queues map[apjob.Queue]Queue) { s.queues = queues }
+
+// TakeEvents returns and forgets the events since the last call.
+func (s *Shard) TakeEvents() []Event {
+	events := s.events
+	s.events = nil
+	return events
+}
+
+func (s *Shard) log(what string, run apjob.RunKey, on apjob.WorkerID, fields map[string]any) {
+	if len(s.events) < s.options.MaxEvents {
+		s.events = append(s.events, Event{What: what, Run: run, Worker: on, Fields: fields})
+	}
+}
--- /dev/null
+++ b/pkg/apscheduler/options.go
@@ -0,0 +1,53 @@
+package apscheduler
+
+import "time"
+
+// Options configure a Shard.
+type Options struct {
+	// Lease is how long a worker goes on without a word from the owner.
+	Lease time.Duration
+	// MaxLease is the longest lease that a worker grants; an earlier owner may have had it.
+	MaxLease time.Duration
+	// ClockDrift is how much slower than ours a worker's clock may be.
+	ClockDrift float64
+	// StopTime is how long a worker takes to stop a run.
+	StopTime time.Duration
+	// ResendAfter is the first wait for the answer to an order; it doubles up to MaxResend.
+	ResendAfter time.Duration
+	MaxResend   time.Duration
+	// MaxSilence is how old a worker's last answer may be for it to get new runs.
+	MaxSilence time.Duration
+	// FarFactor is how much longer a task takes away from its rack.
+	FarFactor float64
+	// Retention is how long the end of a job is shown.
+	Retention time.Duration
+	// Notice is how long a long-running task that is not at work counts as away after a stop.
+	Notice time.Duration
+	// BatchJobs bounds the jobs of a batch.
+	BatchJobs int
+	// MaxEvents bounds the events kept between two calls of TakeEvents.
+	MaxEvents int
+}
+
+// Option changes an Options.
+type Option func(*Options)
+
+func defaultOptions() Options {
+	return Options{
+		Lease:       4 * time.Second,
+		MaxLease:    10 * time.Second,
+		ClockDrift:  0.02,
+		StopTime:    400 * time.Millisecond,
+		ResendAfter: 300 * time.Millisecond,
+		MaxResend:   2 * time.Second,
+		MaxSilence:  1800 * time.Millisecond,
+		FarFactor:   1.5,
+		Retention:   2 * time.Minute,
+		Notice:      4500 * time.Millisecond,
+		BatchJobs:   24,
+		MaxEvents:   4096,
+	}
+}
+
+// WithOptions replaces the options by what change makes of them.
+func WithOptions(change func(*Options)) Option { return change }
--- /dev/null
+++ b/pkg/apscheduler/plan.go
@@ -0,0 +1,346 @@
+package apscheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"auburnport/pkg/apfleet"
+	"auburnport/pkg/apjob"
+	"auburnport/pkg/apworker"
+)
+
+// candidate is a step with tasks that may start now.
+type candidate struct {
+	job        *job
+	occurrence int
+	step       int
+	// late tells that the job can't be done in time any more.
+	late    bool
+	lasting bool
+	begun   bool
+	// slack is the time left beyond the estimated work.
+	slack time.Duration
+	// work is the estimated processor time left in the job, in core-seconds.
+	work float64
+	// priority is that of the queue.
+	priority int
+}
+
+// Plan assigns tasks that may start to workers with room. The assignments are part of the next
+// batches; the orders go out when those are stored. wall is the time of day for schedules.
+func (s *Shard) Plan(now, wall time.Time) {
+	s.expire(now)
+	s.beginDue(wall)
+	candidates := s.candidates(now)
+	if len(candidates) == 0 {
+		return
+	}
+	slices.SortFunc(candidates, compareCandidates)
+	open := s.openWorkers(now)
+	for i := range candidates {
+		if len(open) == 0 {
+			return
+		}
+		s.placeStep(&candidates[i], open, now)
+	}
+}
+
+// beginDue begins the occurrences whose time has come.
+func (s *Shard) beginDue(wall time.Time) {
+	for _, j := range s.active {
+		if j.def.Repeat == 0 {
+			if j.nextOccurrence == 0 {
+				j.begin(0)
+				j.recount()
+			}
+			continue
+		}
+		for j.nextOccurrence < j.def.Repeat && !wall.Before(j.def.Due(j.nextOccurrence)) {
+			j.begin(j.nextOccurrence)
+			j.recount()
+			s.markDirty(j)
+		}
+	}
+}
+
+// compareCandidates orders steps for the load of short bursts above the pool's capacity: jobs that
+// can still be done in time come first, and among them those that have begun and those with little
+// work, so that most jobs of a burst are on time; jobs that are late follow in order of age.
+func compareCandidates(a, b candidate) int {
+	return cmp.Or(
+		-compareBool(a.lasting, b.lasting),
+		compareBool(a.late, b.late),
+		cmp.Compare(a.priority, b.priority),
+		-compareBool(a.begun, b.begun),
+		lateOrder(a, b),
+		cmp.Compare(a.work, b.work),
+		a.job.seen.Compare(b.job.seen),
+		cmp.Compare(a.job.def.ID, b.job.def.ID),
+		cmp.Compare(a.occurrence, b.occurrence),
+		cmp.Compare(a.step, b.step),
+	)
+}
+
+func lateOrder(a, b candidate) int {
+	if !a.late {
+		return 0
+	}
+	return a.job.seen.Compare(b.job.seen)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
+func (s *Shard) candidates(now time.Time) []candidate {
+	var candidates []candidate
+	for _, j := range s.active {
+		if j.waiting == 0 {
+			continue
+		}
+		for i := range j.progress.Occurrences {
+			occurrence := &j.progress.Occurrences[i]
+			due := j.due
+			if j.def.Repeat > 0 {
+				due = now
+			}
+			chain, work := s.left(j, occurrence)
+			for n := range occurrence.Steps {
+				if !occurrence.Ready(j.def, n) {
+					continue
+				}
+				slack := due.Sub(now) - chain
+				candidates = append(candidates, candidate{
+					job: j, occurrence: occurrence.Number, step: n,
+					late: slack < 0 && j.def.Repeat == 0, lasting: j.def.Steps[n].LongRunning,
+					begun: j.state() != apjob.Pending, slack: slack, work: work,
+					priority: s.queues[j.def.Queue].Priority,
+				})
+			}
+		}
+	}
+	return candidates
+}
+
+// openWorkers returns the workers that may get new runs now.
+func (s *Shard) openWorkers(now time.Time) []*worker {
+	var open []*worker
+	for _, w := range s.workers {
+		if w.registered && w.reached && !w.info.Draining && !w.cordoned && w.foreign == 0 &&
+			now.Sub(w.lastOK) <= s.options.MaxSilence && !now.Before(w.retryAt) && !w.health.quarantined(now) {
+			open = append(open, w)
+		}
+	}
+	slices.SortFunc(open, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	return open
+}
+
+// placeStep assigns the waiting tasks of a step, all of them when it is a gang.
+func (s *Shard) placeStep(c *candidate, open []*worker, now time.Time) {
+	j := c.job
+	step := &j.def.Steps[c.step]
+	tasks := j.occurrence(c.occurrence).Steps[c.step]
+	use := s.stepUse(j, c.occurrence, c.step, tasks)
+	type choice struct {
+		index int
+		on    *worker
+	}
+	var chosen []choice
+	complete := true
+	for k := range tasks {
+		t := &tasks[k]
+		if t.Done || t.Worker != "" {
+			complete = complete && !step.Gang
+			continue
+		}
+		id := apjob.TaskID{Job: j.def.ID, Occurrence: c.occurrence, Step: c.step, Index: k}
+		on := s.choose(step, use, open, j.triedOn[id])
+		if on == nil {
+			complete = false
+			if step.Gang || len(j.triedOn) == 0 {
+				break
+			}
+			continue
+		}
+		on.used = on.used.Add(step.Booked())
+		use.add(on)
+		chosen = append(chosen, choice{index: k, on: on})
+	}
+	for _, pick := range chosen {
+		pick.on.used = pick.on.used.Sub(step.Booked())
+	}
+	if step.Gang && !complete {
+		return
+	}
+	run := 0
+	checkpoint := ""
+	for k := range tasks {
+		run = max(run, tasks[k].Run)
+		checkpoint = cmp.Or(checkpoint, tasks[k].Checkpoint)
+	}
+	for _, pick := range chosen {
+		t := &tasks[pick.index]
+		if step.Gang {
+			t.Run, t.Checkpoint = run, checkpoint
+		}
+		s.assign(j, apjob.TaskID{Job: j.def.ID, Occurrence: c.occurrence, Step: c.step, Index: pick.index}, t, step, pick.on, now)
+	}
+}
+
+func (s *Shard) assign(j *job, id apjob.TaskID, t *apjob.Task, step *apjob.Step, on *worker, now time.Time) {
+	t.Run++
+	t.Worker = on.info.ID
+	run := apjob.RunKey{Task: id, Run: t.Run}
+	on.book(run, &occupant{need: step.Booked(), phase: phasePlanned, checkpoint: t.Checkpoint})
+	j.waiting--
+	j.running++
+	if j.progress.State == apjob.Pending {
+		j.progress.State = apjob.Running
+	}
+	s.markDirty(j)
+	s.log("TaskPlaced", run, on.info.ID, map[string]any{
+		"WaitedMs": now.Sub(j.seen).Milliseconds(), "ReportAgeMs": now.Sub(on.lastOK).Milliseconds(),
+		"FreeCPU": on.info.Capacity.CPU - on.used.CPU,
+	})
+}
+
+// stepUse is where the tasks of a step are.
+type stepUse struct {
+	workers map[apjob.WorkerID]int
+	racks   map[apfleet.Rack]int
+}
+
+func (u *stepUse) add(w *worker) {
+	u.workers[w.info.ID]++
+	u.racks[w.info.Rack]++
+}
+
+func (s *Shard) stepUse(j *job, occurrence, step int, tasks []apjob.Task) *stepUse {
+	use := &stepUse{workers: make(map[apjob.WorkerID]int), racks: make(map[apfleet.Rack]int)}
+	for k := range tasks {
+		if w := s.workers[tasks[k].Worker]; w != nil && tasks[k].Worker != "" {
+			use.add(w)
+		}
+	}
+	if j.def.Steps[step].MaxPerWorker > 0 {
+		s.countStopping(j.def.ID, occurrence, step, use)
+	}
+	return use
+}
+
+// countStopping adds runs of the step that are no task's present run but still on a worker.
+func (s *Shard) countStopping(id apjob.ID, occurrence, step int, use *stepUse) {
+	for _, w := range s.workers {
+		for run, o := range w.occupants {
+			if run.Task.Job == id && run.Task.Occurrence == occurrence && run.Task.Step == step && o.phase == phaseStopping {
+				if t, _ := s.task(run.Task); t == nil || t.Run != run.Run {
+					use.add(w)
+				}
+			}
+		}
+	}
+}
+
+// choose returns the best worker for a task, or nil. Tasks fill up workers, so that wide holes stay
+// for large tasks; long-running tasks spread over racks, so that one rack takes few of them away.
+func (s *Shard) choose(step *apjob.Step, use *stepUse, open []*worker, avoid []apjob.WorkerID) *worker {
+	var best *worker
+	var bestScore float64
+	need := step.Booked()
+	for _, w := range open {
+		if !w.info.Capacity.Sub(w.used).Fits(need) {
+			continue
+		}
+		if step.Label != "" && !slices.Contains(w.info.Labels, step.Label) {
+			continue
+		}
+		if step.MaxPerWorker > 0 && use.workers[w.info.ID] >= step.MaxPerWorker {
+			continue
+		}
+		if slices.Contains(avoid, w.info.ID) && len(open) > len(avoid) {
+			continue
+		}
+		score := s.score(step, use, w)
+		if best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+func (s *Shard) score(step *apjob.Step, use *stepUse, w *worker) float64 {
+	full := 0.0
+	if w.info.Capacity.CPU > 0 {
+		full = float64(w.used.CPU) / float64(w.info.Capacity.CPU)
+	}
+	score := full - w.health.slowness()
+	if step.LongRunning {
+		score = -full - float64(use.racks[w.info.Rack]) - float64(use.workers[w.info.ID])
+	}
+	if step.SameRack && use.racks[w.info.Rack] > 0 {
+		score += rackWeight
+	}
+	if step.DataRack != "" && step.DataRack == string(w.info.Rack) {
+		score += rackWeight
+	}
+	return score
+}
+
+// rackWeight puts a wanted rack before any difference in load.
+const rackWeight = 10
+
+// Orders returns the orders that are due now: starts of stored runs, stops, and those that went
+// without an answer.
+func (s *Shard) Orders(now time.Time) []Order {
+	var orders []Order
+	for _, w := range s.workers {
+		if !w.info.Address.IsValid() {
+			continue
+		}
+		for run, o := range w.occupants {
+			if o.phase == phasePlanned || o.phase == phaseRunning || !o.dueAt(s.options).Before(now) {
+				continue
+			}
+			if order := s.orderFor(w, run, o, now); order != nil {
+				o.sentAt = now
+				o.attempts++
+				orders = append(orders, order)
+			}
+		}
+	}
+	return orders
+}
+
+// dueAt returns when the next order about a run is due.
+func (o *occupant) dueAt(options Options) time.Time {
+	if o.sentAt.IsZero() {
+		return time.Time{}
+	}
+	wait := options.ResendAfter << min(max(o.attempts-1, 0), 4)
+	return o.sentAt.Add(min(wait, options.MaxResend))
+}
+
+func (s *Shard) orderFor(w *worker, run apjob.RunKey, o *occupant, now time.Time) Order {
+	if o.phase == phaseStopping {
+		if o.stopAnswered {
+			return nil
+		}
+		return Stop{To: w.target(), Order: apworker.StopOrder{Run: run, Fence: s.fence}}
+	}
+	j := s.jobs[run.Task.Job]
+	if j == nil || !w.reached {
+		return nil
+	}
+	return Start{To: w.target(), Order: apworker.StartOrder{
+		Run: run, Spec: j.def.Spec, Deadline: s.deadline(w, now), Fence: s.fence,
+		Checkpoint: o.checkpoint, Ticket: o.ticket,
+	}}
+}
--- /dev/null
+++ b/pkg/apscheduler/worker.go
@@ -0,0 +1,403 @@
+package apscheduler
+
+import (
+	"time"
+
+	"auburnport/pkg/apcode"
+	"auburnport/pkg/apjob"
+	"auburnport/pkg/apworker"
+)
+
+// phase is how far a run has come on a worker.
+type phase uint8
+
+const (
+	// phasePlanned runs are not stored yet.
+	phasePlanned phase = iota
+	// phaseOrdered runs may be there or may still start.
+	phaseOrdered
+	// phaseRunning runs were confirmed by the worker.
+	phaseRunning
+	// phaseStopping runs were ordered to stop and still take their room.
+	phaseStopping
+)
+
+// occupant is a run that takes room on a worker, or may.
+type occupant struct {
+	need  apjob.Resources
+	phase phase
+	// sentAt is when the last order went out; zero when none has.
+	sentAt   time.Time
+	attempts int
+	// answeredAt is when the worker last answered an order about the run.
+	answeredAt time.Time
+	// silent tells that an order went without an answer and may still be carried out.
+	silent bool
+	// stopAnswered tells that the worker has acknowledged a stop.
+	stopAnswered bool
+	startedAt    time.Time
+	percent      int
+	usage        float64
+	percentAt    time.Time
+	paced        int
+	checkpoint   string
+	ticket       string
+	// unknown tells that the run's size is not known.
+	unknown bool
+}
+
+// worker is one life of a worker as the shard sees it.
+type worker struct {
+	info       apworker.Info
+	registered bool
+	// cordoned workers get no new runs and are emptied.
+	cordoned bool
+	// reached tells that the worker has answered under this fence.
+	reached bool
+	// clock was the worker's clock at clockAt.
+	clock   time.Duration
+	clockAt time.Time
+	// leaseEnd is the latest deadline sent, on the worker's clock.
+	leaseEnd time.Duration
+	// silentEnd is when a worker that never answered holds no run any more.
+	silentEnd time.Time
+	occupants map[apjob.RunKey]*occupant
+	used      apjob.Resources
+	// foreign counts runs on the worker that the shard doesn't know; their size is unknown.
+	foreign int
+	// applied is the highest end that was applied, stored the highest that is stored.
+	applied uint64
+	stored  uint64
+	pending []pendingEnd
+	// retryAt holds back new runs after a refusal.
+	retryAt time.Time
+	health  health
+	lastOK  time.Time
+}
+
+// Target returns where orders for the worker go.
+func (w *worker) target() apworker.Target {
+	return apworker.Target{ID: w.info.ID, Address: w.info.Address}
+}
+
+// now returns a lower bound of the worker's clock.
+func (w *worker) now(at time.Time, drift float64) time.Duration {
+	passed := at.Sub(w.clockAt)
+	return w.clock + passed - time.Duration(float64(passed)*drift)
+}
+
+func (w *worker) book(run apjob.RunKey, o *occupant) {
+	w.occupants[run] = o
+	w.used = w.used.Add(o.need)
+}
+
+func (w *worker) release(run apjob.RunKey) {
+	if o, ok := w.occupants[run]; ok {
+		w.used = w.used.Sub(o.need)
+		delete(w.occupants, run)
+	}
+}
+
+// Register applies a worker's registration.
+func (s *Shard) Register(info apworker.Info, now time.Time) {
+	w := s.worker(info.ID, now)
+	if w.registered && !info.Born.IsZero() && !w.info.Born.IsZero() && !info.Born.Equal(w.info.Born) {
+		s.reborn(w, info.Born, now)
+	}
+	if info.Born.IsZero() {
+		info.Born = w.info.Born
+	}
+	drained := info.Draining && !w.info.Draining
+	w.info = info
+	w.registered = true
+	if drained {
+		s.log("WorkerDraining", apjob.RunKey{}, info.ID, nil)
+	}
+}
+
+// Unregister notes that a worker's registration has gone. Its runs are kept until they can't go on.
+func (s *Shard) Unregister(id apjob.WorkerID) {
+	if w, ok := s.workers[id]; ok {
+		w.registered = false
+	}
+}
+
+// Cordon tells whether a worker is to be emptied.
+func (s *Shard) Cordon(id apjob.WorkerID, cordoned bool) {
+	if w, ok := s.workers[id]; ok && w.cordoned != cordoned {
+		w.cordoned = cordoned
+		s.log("WorkerCordoned", apjob.RunKey{}, id, map[string]any{"Cordoned": cordoned})
+	}
+}
+
+// Empty reports whether nothing can be running on a worker.
+func (s *Shard) Empty(id apjob.WorkerID) bool {
+	w, ok := s.workers[id]
+	return !ok || w.reached && len(w.occupants) == 0 && w.foreign == 0
+}
+
+func (s *Shard) worker(id apjob.WorkerID, now time.Time) *worker {
+	w, ok := s.workers[id]
+	if !ok {
+		w = &worker{occupants: make(map[apjob.RunKey]*occupant)}
+		w.info.ID = id
+		longest := s.options.MaxLease + s.options.StopTime
+		w.silentEnd = now.Add(longest + time.Duration(float64(longest)*s.options.ClockDrift))
+		s.workers[id] = w
+	}
+	return w
+}
+
+// Workers returns the workers that must be held: those that are registered or may run something.
+func (s *Shard) Workers() []apworker.Target {
+	var targets []apworker.Target
+	for _, w := range s.workers {
+		if w.info.Address.IsValid() && (w.registered || len(w.occupants) > 0) {
+			targets = append(targets, w.target())
+		}
+	}
+	return targets
+}
+
+// Hold returns the order that extends a worker's lease at this moment.
+func (s *Shard) Hold(id apjob.WorkerID, now time.Time) (apworker.HoldOrder, bool) {
+	w, ok := s.workers[id]
+	if !ok {
+		return apworker.HoldOrder{}, false
+	}
+	order := apworker.HoldOrder{Fence: s.fence, Seen: w.stored}
+	if w.reached {
+		order.Deadline = s.deadline(w, now)
+	}
+	return order, true
+}
+
+// Busy reports whether a worker has runs, so that its lease matters.
+func (s *Shard) Busy(id apjob.WorkerID) bool {
+	w, ok := s.workers[id]
+	return ok && len(w.occupants) > 0
+}
+
+// deadline returns and notes a new end of the worker's lease, on its clock.
+func (s *Shard) deadline(w *worker, now time.Time) time.Duration {
+	end := w.clock + now.Sub(w.clockAt) + s.options.Lease
+	w.leaseEnd = max(w.leaseEnd, end)
+	return end
+}
+
+// reborn ends all runs of a worker's earlier life.
+func (s *Shard) reborn(w *worker, born time.Time, now time.Time) {
+	s.log("WorkerReborn", apjob.RunKey{}, w.info.ID, map[string]any{"Runs": len(w.occupants)})
+	s.clear(w, "Reborn", now)
+	w.applied, w.stored, w.pending = 0, 0, nil
+	w.clock, w.leaseEnd = 0, 0
+	w.clockAt = now
+	w.reached = false
+	w.info.Born = born
+}
+
+// clear frees every run of a worker that holds none any more.
+func (s *Shard) clear(w *worker, why string, now time.Time) {
+	for run, o := range w.occupants {
+		s.lost(w, run, o, why, now)
+	}
+	w.foreign = 0
+}
+
+// lost frees a run that ended without a report.
+func (s *Shard) lost(w *worker, run apjob.RunKey, o *occupant, why string, now time.Time) {
+	w.release(run)
+	s.log("RunLost", run, w.info.ID, map[string]any{"Why": why, "Phase": int(o.phase)})
+	s.taskEnded(run, w.info.ID, apworker.EndLapsed, o.checkpoint, now)
+}
+
+// Gone notes that a worker's process has ended: nothing listens at its address, or another life
+// answers there.
+func (s *Shard) Gone(id apjob.WorkerID, now time.Time) {
+	if w, ok := s.workers[id]; ok && !w.registered {
+		s.clear(w, "Gone", now)
+		if len(w.occupants) == 0 {
+			delete(s.workers, id)
+		}
+	}
+}
+
+// Report applies a worker's report. sentAt is when the question went out.
+func (s *Shard) Report(id apjob.WorkerID, report apworker.Report, sentAt, now time.Time) {
+	w, ok := s.workers[id]
+	if !ok {
+		return
+	}
+	if !report.Born.IsZero() {
+		if !w.info.Born.IsZero() && !report.Born.Equal(w.info.Born) {
+			s.reborn(w, report.Born, now)
+		}
+		w.info.Born = report.Born
+	}
+	first := !w.reached
+	w.reached = true
+	w.lastOK = now
+	w.clock, w.clockAt = report.Clock, now
+	listed := make(map[apjob.RunKey]bool, len(report.Running)+len(report.Ended))
+	for _, ended := range report.Ended {
+		listed[ended.Run] = true
+		s.applyEnd(w, ended, now)
+	}
+	w.foreign = 0
+	for _, running := range report.Running {
+		if !listed[running.Run] {
+			listed[running.Run] = true
+			s.applyRunning(w, running, sentAt, now)
+		}
+	}
+	for run, o := range w.occupants {
+		if listed[run] || o.phase == phasePlanned {
+			continue
+		}
+		settled := first || !o.answeredAt.IsZero() && o.answeredAt.Before(sentAt) && (!o.silent || o.stopAnswered)
+		if settled {
+			s.lost(w, run, o, "NotListed", now)
+		}
+	}
+}
+
+func (s *Shard) applyEnd(w *worker, ended apworker.Ended, now time.Time) {
+	if ended.Number <= w.applied {
+		return
+	}
+	w.applied = ended.Number
+	if o, ok := w.occupants[ended.Run]; ok {
+		s.observe(w, ended, o, now)
+	}
+	w.release(ended.Run)
+	s.log("RunEnded", ended.Run, w.info.ID, map[string]any{"How": ended.How.String(), "Number": ended.Number})
+	if s.taskEnded(ended.Run, w.info.ID, ended.How, ended.Checkpoint, now) {
+		w.pending = append(w.pending, pendingEnd{worker: w.info.ID, number: ended.Number, job: ended.Run.Task.Job})
+	}
+	s.advance(w)
+}
+
+// advance raises the number of the last end that is stored with all before it.
+func (s *Shard) advance(w *worker) {
+	w.stored = w.applied
+	for _, end := range w.pending {
+		w.stored = min(w.stored, end.number-1)
+	}
+}
+
+func (s *Shard) applyRunning(w *worker, running apworker.Running, sentAt, now time.Time) {
+	o, ok := w.occupants[running.Run]
+	if !ok {
+		o = s.adopt(w, running, now)
+	}
+	if o.unknown {
+		w.foreign++
+	}
+	if o.phase == phaseOrdered {
+		o.phase = phaseRunning
+		if o.answeredAt.IsZero() {
+			o.answeredAt = sentAt
+		}
+		if o.startedAt.IsZero() {
+			o.startedAt = now
+		}
+	}
+	if running.Percent != o.percent || o.percentAt.IsZero() {
+		o.percent, o.percentAt = running.Percent, now
+	}
+	o.usage = running.Usage
+	if running.Checkpoint != "" {
+		o.checkpoint = running.Checkpoint
+	}
+	s.taskRunning(running, now)
+}
+
+// adopt takes over a run that an earlier owner started, or stops one that is not wanted.
+func (s *Shard) adopt(w *worker, running apworker.Running, now time.Time) *occupant {
+	t, step := s.task(running.Run.Task)
+	o := &occupant{phase: phaseRunning, answeredAt: now, startedAt: now, percentAt: now, percent: running.Percent, checkpoint: running.Checkpoint}
+	if step != nil {
+		o.need = step.Booked()
+	}
+	o.unknown = step == nil
+	w.book(running.Run, o)
+	if t != nil && !t.Done && t.Run == running.Run.Run && t.Worker == w.info.ID && !s.jobs[running.Run.Task.Job].state().Final() {
+		s.log("RunAdopted", running.Run, w.info.ID, nil)
+		return o
+	}
+	o.phase = phaseStopping
+	s.log("RunUnwanted", running.Run, w.info.ID, nil)
+	return o
+}
+
+// Answered applies the answer to a start or a stop.
+func (s *Shard) Answered(id apjob.WorkerID, run apjob.RunKey, stop bool, err error, now time.Time) {
+	w, ok := s.workers[id]
+	if !ok {
+		return
+	}
+	o, ok := w.occupants[run]
+	if !ok {
+		return
+	}
+	code := apcode.Of(err)
+	if code != apcode.OK {
+		s.log("OrderFailed", run, id, map[string]any{"Code": uint16(code), "Stop": stop, "Attempt": o.attempts})
+	}
+	switch {
+	case code == apcode.WorkerSilent:
+		o.silent = true
+	case stop:
+		o.answeredAt = now
+		o.stopAnswered = o.stopAnswered || code == apcode.OK || code == apcode.StaleRun
+	case code == apcode.OK:
+		o.answeredAt = now
+		if o.phase == phaseOrdered {
+			o.phase = phaseRunning
+			o.startedAt = now
+		}
+	case code == apcode.StaleRun:
+		o.answeredAt = now
+		o.phase = phaseStopping
+	case o.silent:
+		// An earlier copy of the order may still be carried out: only a stop rules that out.
+		o.phase = phaseStopping
+		o.sentAt = time.Time{}
+	default:
+		s.refused(w, run, o, code, now)
+	}
+}
+
+// refused frees a run that the worker did not start.
+func (s *Shard) refused(w *worker, run apjob.RunKey, o *occupant, code apcode.Code, now time.Time) {
+	w.release(run)
+	w.retryAt = now.Add(s.options.ResendAfter)
+	if code == apcode.WorkerRefused {
+		w.retryAt = now.Add(s.options.MaxResend)
+	}
+	s.taskEnded(run, w.info.ID, apworker.EndStopped, o.checkpoint, now)
+}
+
+// expire frees the runs of workers whose lease has certainly ended.
+func (s *Shard) expire(now time.Time) {
+	for id, w := range s.workers {
+		if !w.registered && len(w.occupants) == 0 {
+			if w.reached || now.After(w.silentEnd) {
+				delete(s.workers, id)
+			}
+			continue
+		}
+		if len(w.occupants) == 0 {
+			continue
+		}
+		if !w.reached {
+			if now.After(w.silentEnd) {
+				s.clear(w, "NeverAnswered", now)
+			}
+			continue
+		}
+		if w.now(now, s.options.ClockDrift) > w.leaseEnd+s.options.StopTime {
+			s.clear(w, "LeaseEnded", now)
+		}
+	}
+}
--- a/pkg/apstore/memory/memory.go
+++ b/pkg/apstore/memory/memory.go
@@ -30,6 +30,9 @@
 	nextID   apstore.LeaseID
 	changed  chan struct{}
 	calls    Calls
+	// removed holds the revision of each key's removal until the next Compact.
+	removed   map[apfleet.Key]apstore.Revision
+	compacted apstore.Revision
 }
 
 type row struct {
@@ -48,6 +51,7 @@
 		rows:    make(map[apfleet.Key]row),
 		leases:  make(map[apstore.LeaseID]lease),
 		changed: make(chan struct{}),
+		removed: make(map[apfleet.Key]apstore.Revision),
 	}
 }
 
@@ -98,6 +102,7 @@
 	s.revision++
 	value := apstore.Value{Key: write.Key, Revision: s.revision, Data: bytes.Clone(write.Data)}
 	s.rows[write.Key] = row{value: value, lease: write.Lease}
+	delete(s.removed, write.Key)
 	s.notify()
 	return s.revision, nil
 }
@@ -176,8 +181,8 @@
 	delete(s.leases, id)
 	for key, r := range s.rows {
 		if r.lease == id {
-			delete(s.rows, key)
 			s.revision++
+			s.remove(key)
 		}
 	}
 	s.notify()
