Takeover: a worker's lease counts from its first answer under the new fence

Cause: a successor took the lease of every worker as ended (LeaseEnded), for it had sent none itself, and started all running tasks again. Ruled out: encoding of the progress (test), registration. Test: TestSuccessorGoesOnWithWhatRuns failed first.

--- /dev/null
+++ b/pkg/apscheduler/takeover_test.go
@@ -0,0 +1,88 @@
+package apscheduler_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"auburnport/pkg/apjob"
+	"auburnport/pkg/apscheduler"
+	"auburnport/pkg/apworker"
+)
+
+const jobID apjob.ID = "5c0e7a21d94b36f8"
+
+var start = time.Unix(1_000_000, 0)
+
+func taskID(step, index int) apjob.TaskID { return apjob.TaskID{Job: jobID, Step: step, Index: index} }
+
+func workerInfo(id apjob.WorkerID, cpu int64) apworker.Info {
+	return apworker.Info{
+		ID: id, Service: "pool", Address: netip.MustParseAddrPort("127.0.0.1:9"), Rack: "r1", Labels: []string{"a", "r1"},
+		Capacity: apjob.Resources{CPU: cpu, Memory: 64_000},
+	}
+}
+
+func job(steps ...apjob.Step) *apjob.Job {
+	return &apjob.Job{ID: jobID, Queue: "q", Steps: steps, Submitted: start}
+}
+
+// starts returns the runs that are ordered to start.
+func starts(orders []apscheduler.Order) []apjob.RunKey {
+	var runs []apjob.RunKey
+	for _, order := range orders {
+		if s, ok := order.(apscheduler.Start); ok {
+			runs = append(runs, s.Order.Run)
+		}
+	}
+	return runs
+}
+
+func stops(orders []apscheduler.Order) []apjob.RunKey {
+	var runs []apjob.RunKey
+	for _, order := range orders {
+		if s, ok := order.(apscheduler.Stop); ok {
+			runs = append(runs, s.Order.Run)
+		}
+	}
+	return runs
+}
+
+// storeAll stores every batch and returns the last record of each job.
+func storeAll(s *apscheduler.Shard) map[apjob.ID]apscheduler.Record {
+	records := make(map[apjob.ID]apscheduler.Record)
+	for s.BatchDue() {
+		batch := s.NextBatch()
+		for _, r := range batch.Records {
+			records[r.Job] = r
+		}
+		s.Stored(batch)
+	}
+	return records
+}
+
+func TestSuccessorGoesOnWithWhatRuns(t *testing.T) {
+	first := apscheduler.New(1)
+	first.Register(workerInfo("w1", 4000), start)
+	first.Report("w1", apworker.Report{Clock: time.Second}, start, start)
+	def := job(apjob.Step{Count: 2, Need: apjob.Resources{CPU: 1000}})
+	first.Submit(def, 0, start)
+	first.Plan(start, start)
+	stored := storeAll(first)[jobID]
+	assert.Equal(t, len(starts(first.Orders(start))), 2)
+
+	next := apscheduler.New(2)
+	next.Load(def, stored.Progress, 0, start)
+	next.Register(workerInfo("w1", 4000), start)
+	next.Plan(start, start)
+	assert.Equal(t, len(starts(next.Orders(start))), 0, "nothing is started before the worker was asked")
+	at := start.Add(10 * time.Millisecond)
+	next.Report("w1", apworker.Report{Clock: time.Second, Running: []apworker.Running{{Run: apjob.RunKey{Task: taskID(0, 0), Run: 1}}}}, start, at)
+	next.Plan(at, at)
+	storeAll(next)
+	orders := next.Orders(at.Add(time.Second))
+	assert.Equal(t, len(stops(orders)), 0)
+	assert.DeepEqual(t, starts(orders), []apjob.RunKey{{Task: taskID(0, 1), Run: 2}})
+}
--- a/pkg/apscheduler/worker.go
+++ b/pkg/apscheduler/worker.go
@@ -238,6 +238,10 @@
 	w.reached = true
 	w.lastOK = now
 	w.clock, w.clockAt = report.Clock, now
+	if first {
+		// An earlier owner may have extended the lease as far as the worker allows.
+		w.leaseEnd = report.Clock + s.options.MaxLease
+	}
 	listed := make(map[apjob.RunKey]bool, len(report.Running)+len(report.Ended))
 	for _, ended := range report.Ended {
 		listed[ended.Run] = true
