Batches are counted by the entries of their transaction

Change: each record counts its put and its removals; a malformed transaction ends the ownership at once instead of being sent again. Test: TestBatchesFitATransaction.

--- a/internal/apowner/store.go
+++ b/internal/apowner/store.go
@@ -77,6 +77,9 @@
 		write.Puts = append(write.Puts, apstore.Put{Key: apjournal.ProgressKey(o.config.Shard, record.Job), Data: data})
 		if record.Retired {
 			write.Removals = append(write.Removals, apjournal.JobKey(o.config.Shard, record.Job))
+			if record.Progress.State == apjob.Cancelled {
+				write.Removals = append(write.Removals, apjournal.CancelKey(o.config.Shard, record.Job))
+			}
 		}
 	}
 	return write
--- a/pkg/apjournal/apjournal.go
+++ b/pkg/apjournal/apjournal.go
@@ -202,7 +202,7 @@
 func (j *Journal) Epoch() uint64 { return j.epoch.Number }
 
 // Store writes a change, again after lost answers, until it is known to be stored. attempt is told of
-// every failure. Errors: LeaseLost when another owner has taken over, and ctx's.
+// every failure. Errors: LeaseLost when another owner has taken over, BadMessage, and ctx's.
 func (j *Journal) Store(ctx context.Context, write Write, attempt func(error)) error {
 	next := j.epoch
 	next.Write++
@@ -219,6 +219,9 @@
 			return nil
 		case apcode.StoreConflict:
 			return j.settle(result.Present[0], next)
+		case apcode.BadMessage:
+			// The same write would be refused again.
+			return err
 		default:
 			attempt(err)
 		}
--- /dev/null
+++ b/pkg/apscheduler/batch_test.go
@@ -0,0 +1,37 @@
+package apscheduler_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"auburnport/pkg/apjob"
+	"auburnport/pkg/apscheduler"
+	"auburnport/pkg/apstore"
+)
+
+// A batch with the condition, the epoch, the counts and two removals must fit one transaction, also
+// when every job in it is retired.
+func TestBatchesFitATransaction(t *testing.T) {
+	s := apscheduler.New(1)
+	for n := range 100 {
+		id := apjob.ID(fmt.Sprintf("%016x", n))
+		s.Submit(&apjob.Job{ID: id, Queue: "q", Steps: []apjob.Step{{Count: 1}}, Submitted: start}, 0, start)
+		s.Cancel(id, start)
+	}
+	jobs := 0
+	for s.BatchDue() {
+		batch := s.NextBatch()
+		entries := 5
+		for _, r := range batch.Records {
+			entries += r.Entries()
+			assert.Assert(t, r.Retired)
+		}
+		assert.Assert(t, len(batch.Records) > 0)
+		assert.Assert(t, entries <= apstore.MaxTransactionEntries, "%d entries", entries)
+		jobs += len(batch.Records)
+		s.Stored(batch)
+	}
+	assert.Equal(t, jobs, 100)
+}
--- a/pkg/apscheduler/job.go
+++ b/pkg/apscheduler/job.go
@@ -297,11 +297,16 @@
 // NextBatch returns the oldest records that wait to be stored. Return it to Stored or Unstored.
 func (s *Shard) NextBatch() Batch {
 	var batch Batch
-	n := min(len(s.dirty), s.options.BatchJobs)
-	for _, id := range s.dirty[:n] {
+	n, entries := 0, 0
+	for _, id := range s.dirty {
 		j := s.jobs[id]
+		record := j.record()
+		if entries += record.Entries(); entries > s.options.BatchEntries {
+			break
+		}
+		n++
 		j.dirty = false
-		batch.Records = append(batch.Records, j.record())
+		batch.Records = append(batch.Records, record)
 		for _, w := range s.workers {
 			for _, end := range w.pending {
 				if end.job == id {
@@ -319,6 +324,18 @@
 	return batch
 }
 
+// Entries returns the number of entries that the record takes in a transaction.
+func (r Record) Entries() int {
+	switch {
+	case !r.Retired:
+		return 1
+	case r.Progress.State == apjob.Cancelled:
+		return 3
+	default:
+		return 2
+	}
+}
+
 // record copies the job's progress.
 func (j *job) record() Record {
 	copied := j.progress
--- a/pkg/apscheduler/options.go
+++ b/pkg/apscheduler/options.go
@@ -1,6 +1,10 @@
 package apscheduler
 
-import "time"
+import (
+	"time"
+
+	"auburnport/pkg/apstore"
+)
 
 // Options configure a Shard.
 type Options struct {
@@ -23,8 +27,8 @@
 	Retention time.Duration
 	// Notice is how long a long-running task that is not at work counts as away after a stop.
 	Notice time.Duration
-	// BatchJobs bounds the jobs of a batch.
-	BatchJobs int
+	// BatchEntries bounds the entries of a batch in its transaction.
+	BatchEntries int
 	// MaxEvents bounds the events kept between two calls of TakeEvents.
 	MaxEvents int
 }
@@ -32,20 +36,24 @@
 // Option changes an Options.
 type Option func(*Options)
 
+// maxBatchEntries leaves room in a transaction for its condition, the epoch, the counts of waiting
+// jobs and two removals.
+const maxBatchEntries = apstore.MaxTransactionEntries - 5
+
 func defaultOptions() Options {
 	return Options{
-		Lease:       4 * time.Second,
-		MaxLease:    10 * time.Second,
-		ClockDrift:  0.02,
-		StopTime:    400 * time.Millisecond,
-		ResendAfter: 300 * time.Millisecond,
-		MaxResend:   2 * time.Second,
-		MaxSilence:  1800 * time.Millisecond,
-		FarFactor:   1.5,
-		Retention:   2 * time.Minute,
-		Notice:      4500 * time.Millisecond,
-		BatchJobs:   24,
-		MaxEvents:   4096,
+		Lease:        4 * time.Second,
+		MaxLease:     10 * time.Second,
+		ClockDrift:   0.02,
+		StopTime:     400 * time.Millisecond,
+		ResendAfter:  300 * time.Millisecond,
+		MaxResend:    2 * time.Second,
+		MaxSilence:   1800 * time.Millisecond,
+		FarFactor:    1.5,
+		Retention:    2 * time.Minute,
+		Notice:       4500 * time.Millisecond,
+		BatchEntries: maxBatchEntries,
+		MaxEvents:    4096,
 	}
 }
 
