Order: late jobs that would be lost go first, hopeless ones last

Cause: a burst above the pool's capacity left late jobs waiting behind later ones until they earned nothing.

--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -15,18 +15,52 @@
 	job        *job
 	occurrence int
 	step       int
-	// late tells that the job can't be done in time any more.
-	late    bool
-	lasting bool
-	begun   bool
-	// slack is the time left beyond the estimated work.
-	slack time.Duration
+	urgency    urgency
+	begun      bool
+	// laxity is the time left beyond the estimated work until the job earns nothing more.
+	laxity time.Duration
 	// work is the estimated processor time left in the job, in core-seconds.
 	work float64
 	// priority is that of the queue.
 	priority int
 }
 
+// urgency is the class in which a step waits for room.
+type urgency uint8
+
+const (
+	// urgencyLasting steps serve their users all the time.
+	urgencyLasting urgency = iota
+	// urgencyLastChance jobs are late and earn nothing unless they start now.
+	urgencyLastChance
+	// urgencyOnTime jobs can still be done in time.
+	urgencyOnTime
+	// urgencyLate jobs can't be done in time any more, but are still worth something later.
+	urgencyLate
+	// urgencyHopeless jobs will be too late whatever is done.
+	urgencyHopeless
+)
+
+// lastChance is the laxity below which a late job goes first: about the time until room is free on a
+// full pool.
+const lastChance = 700 * time.Millisecond
+
+// urgencyOf classifies by the time left until a job is late, and until it earns nothing.
+func urgencyOf(lasting bool, slack, laxity time.Duration) urgency {
+	switch {
+	case lasting:
+		return urgencyLasting
+	case slack >= 0:
+		return urgencyOnTime
+	case laxity < 0:
+		return urgencyHopeless
+	case laxity < lastChance:
+		return urgencyLastChance
+	default:
+		return urgencyLate
+	}
+}
+
 // Plan assigns tasks that may start to workers with room. The assignments are part of the next
 // batches; the orders go out when those are stored. wall is the time of day for schedules.
 func (s *Shard) Plan(now, wall time.Time) {
@@ -64,17 +98,16 @@
 	}
 }
 
-// compareCandidates orders steps for the load of short bursts above the pool's capacity: jobs that
-// can still be done in time come first, and among them those that have begun and those with little
-// work, so that most jobs of a burst are on time; jobs that are late follow in order of age.
+// compareCandidates orders steps for the load of short bursts above the pool's capacity. A late job
+// that would be lost goes first, for it has been accepted and waits longest. Of the jobs that can be
+// done in time those with little work follow, so that most jobs of a burst are on time. Late jobs wait
+// for the end of the burst, and those that can't be saved come last, in order of age.
 func compareCandidates(a, b candidate) int {
 	return cmp.Or(
-		-compareBool(a.lasting, b.lasting),
-		compareBool(a.late, b.late),
+		cmp.Compare(a.urgency, b.urgency),
 		cmp.Compare(a.priority, b.priority),
 		-compareBool(a.begun, b.begun),
-		lateOrder(a, b),
-		cmp.Compare(a.work, b.work),
+		compareWithin(a, b),
 		a.job.seen.Compare(b.job.seen),
 		cmp.Compare(a.job.def.ID, b.job.def.ID),
 		cmp.Compare(a.occurrence, b.occurrence),
@@ -82,11 +115,15 @@
 	)
 }
 
-func lateOrder(a, b candidate) int {
-	if !a.late {
+func compareWithin(a, b candidate) int {
+	switch a.urgency {
+	case urgencyOnTime:
+		return cmp.Compare(a.work, b.work)
+	case urgencyLate, urgencyLastChance:
+		return cmp.Compare(a.laxity, b.laxity)
+	default:
 		return 0
 	}
-	return a.job.seen.Compare(b.job.seen)
 }
 
 func compareBool(a, b bool) int {
@@ -108,20 +145,21 @@
 		}
 		for i := range j.progress.Occurrences {
 			occurrence := &j.progress.Occurrences[i]
-			due := j.due
+			due, lateBy := j.due, j.lateBy
 			if j.def.Repeat > 0 {
-				due = now
+				// A scheduled occurrence is due when its work is done.
+				due, lateBy = now.Add(scheduledSlack), now.Add(lateFactor*scheduledSlack)
 			}
 			chain, work := s.left(j, occurrence)
 			for n := range occurrence.Steps {
 				if !occurrence.Ready(j.def, n) {
 					continue
 				}
-				slack := due.Sub(now) - chain
+				laxity := lateBy.Sub(now) - chain
 				candidates = append(candidates, candidate{
 					job: j, occurrence: occurrence.Number, step: n,
-					late: slack < 0 && j.def.Repeat == 0, lasting: j.def.Steps[n].LongRunning,
-					begun: j.state() != apjob.Pending, slack: slack, work: work,
+					urgency: urgencyOf(j.def.Steps[n].LongRunning, due.Sub(now)-chain, laxity),
+					begun:   j.state() != apjob.Pending, laxity: laxity, work: work,
 					priority: s.queues[j.def.Queue].Priority,
 				})
 			}
@@ -294,6 +332,10 @@
 	return score
 }
 
+// scheduledSlack is the time within which a scheduled occurrence is taken to be due, as its own time
+// has come already.
+const scheduledSlack = time.Minute
+
 // rackWeight puts a wanted rack before any difference in load.
 const rackWeight = 10
 
