Waves of upkeep, by an owner of all machines and the owners of pools

Change: disruptions in the store; a pool's owner cordons, evacuates within MaxUnavailable and names the revision at which the worker is empty; then the machine is ordered.

--- /dev/null
+++ b/internal/apcontroller/apcontroller.go
@@ -0,0 +1,443 @@
+// Package apcontroller runs the shard of all machines while this entry owns it: waves of upkeep and moves
+// between pools, each machine emptied by its pool's owner first.
+package apcontroller
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"auburnport/pkg/apcode"
+	"auburnport/pkg/apfleet"
+	"auburnport/pkg/apjob"
+	"auburnport/pkg/apjournal"
+	"auburnport/pkg/apmachine"
+	"auburnport/pkg/apqueue"
+	"auburnport/pkg/apstore"
+)
+
+// Machines lists, moves and maintains machines.
+type Machines interface {
+	// List returns all machines, sorted by name. Errors: PlatformFailed.
+	List(ctx context.Context) ([]apmachine.Machine, error)
+	// Carry does what a machine was emptied for; again after a lost answer.
+	// Errors: StaleFence, OrderBusy, NoSuchWave, NoSuchVM, PlatformFailed.
+	Carry(ctx context.Context, d apmachine.Disruption, fence uint64) error
+}
+
+// Waves reads the operators' waves and writes how far they are.
+type Waves interface {
+	// Prefix is where operators ask for waves.
+	Prefix() apfleet.Key
+	// Parse reads a wave. Errors carry BadMessage.
+	Parse(data []byte) (apmachine.Wave, error)
+	// Status returns the key and the value that tell how far a wave is.
+	Status(number int, completed bool) (apfleet.Key, []byte, error)
+}
+
+// Log receives one decision.
+type Log func(event string, fields map[string]any)
+
+// Config is what a Controller needs.
+type Config struct {
+	Ledger   apstore.Ledger
+	Journal  *apjournal.Journal
+	Machines Machines
+	Waves    Waves
+	Queues   func() *apqueue.Table
+	Log      Log
+	// OrderLease is how long a new holder waits before it orders machines that another has ordered.
+	OrderLease time.Duration
+	// Away is the least time that a machine is away after an order.
+	Away time.Duration
+}
+
+const (
+	// tickTime is how often decisions are taken.
+	tickTime = 100 * time.Millisecond
+	// listBusy and listIdle are the ages at which the list of machines is read again, with and
+	// without anything under way.
+	listBusy = 400 * time.Millisecond
+	listIdle = 3 * time.Second
+	// watchWait, watchGap and watchBackoff are the times of the watches.
+	watchWait    = 2 * time.Second
+	watchGap     = 150 * time.Millisecond
+	watchBackoff = 200 * time.Millisecond
+	// retryGap is the pause before an order is sent again.
+	retryGap = 500 * time.Millisecond
+	// maxOrders bounds the orders under way.
+	maxOrders = 8
+	// maxChanges bounds the changes of one write.
+	maxChanges = 20
+)
+
+// Controller runs the shard of machines. Use New.
+type Controller struct {
+	config  Config
+	events  chan func()
+	tables  apmachine.Tables
+	started time.Time
+	listed  time.Time
+	// carried holds the machines whose order succeeded, until they are back.
+	carried map[apmachine.Name]carried
+	// retryAt holds back orders that failed.
+	retryAt map[apmachine.Name]time.Time
+	// waves holds the numbers behind the operators' keys.
+	waves map[apfleet.Key]int
+}
+
+// carried is a machine that is away by our order.
+type carried struct {
+	at     time.Time
+	worker apjob.WorkerID
+}
+
+// New returns a controller of the claimed shard of machines.
+func New(config Config) *Controller {
+	return &Controller{
+		config: config, events: make(chan func(), 64),
+		carried: make(map[apmachine.Name]carried), retryAt: make(map[apmachine.Name]time.Time), waves: make(map[apfleet.Key]int),
+		tables: apmachine.Tables{
+			Since: make(map[int]time.Time), Finished: make(map[int]apmachine.Finished),
+			Disruptions: make(map[apmachine.Name]apmachine.Disruption), Pools: make(map[apfleet.ServiceName]apmachine.Pool),
+		},
+	}
+}
+
+// Run controls the machines until ctx ends or another owner takes over.
+func (c *Controller) Run(ctx context.Context) error {
+	c.started = time.Now()
+	if err := c.load(ctx); err != nil {
+		return err
+	}
+	c.config.Log("ControlOwned", map[string]any{
+		"Fence": c.config.Journal.Fence(), "Epoch": c.config.Journal.Epoch(), "Disruptions": len(c.tables.Disruptions),
+	})
+	inner, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, inner := errgroup.WithContext(inner)
+	group.Go(func() error { return c.follow(inner, c.config.Waves.Prefix(), c.applyWaves) })
+	group.Go(func() error { return c.follow(inner, apjournal.PrefixPools, c.applyPools) })
+	group.Go(func() error {
+		defer cancel()
+		return c.loop(inner)
+	})
+	err := group.Wait()
+	if ctx.Err() != nil {
+		last, stop := context.WithTimeout(context.WithoutCancel(ctx), releaseTime)
+		defer stop()
+		return c.config.Journal.Release(last)
+	}
+	return err
+}
+
+// releaseTime bounds giving the shard up.
+const releaseTime = time.Second
+
+func (c *Controller) load(ctx context.Context) error {
+	disruptions, err := c.config.Ledger.Scan(ctx, apjournal.PrefixDisruptions)
+	if err != nil {
+		return err
+	}
+	for _, value := range disruptions.Values {
+		var d apmachine.Disruption
+		if err := apfleet.Decode(value.Data, &d); err != nil {
+			c.config.Log("DisruptionUnreadable", map[string]any{"Key": value.Key, "Error": err})
+			continue
+		}
+		d.Revision = value.Revision
+		c.tables.Disruptions[d.Machine] = d
+	}
+	return nil
+}
+
+func (c *Controller) follow(ctx context.Context, prefix apfleet.Key, apply func(apstore.Update)) error {
+	tail := apstore.Tail{Ledger: c.config.Ledger, Prefix: prefix, Wait: watchWait, Gap: watchGap, Backoff: watchBackoff}
+	return tail.Run(ctx, func(update apstore.Update) {
+		if update.Err != nil {
+			return
+		}
+		select {
+		case c.events <- func() { apply(update) }:
+		case <-ctx.Done():
+		}
+	})
+}
+
+func (c *Controller) applyWaves(update apstore.Update) {
+	for _, event := range update.Events {
+		if event.Removed {
+			number := c.waves[event.Value.Key]
+			c.tables.Waves = slices.DeleteFunc(c.tables.Waves, func(w apmachine.Wave) bool { return w.Number == number })
+			continue
+		}
+		wave, err := c.config.Waves.Parse(event.Value.Data)
+		if err != nil {
+			c.config.Log("WaveUnreadable", map[string]any{"Key": event.Value.Key, "Error": err})
+			continue
+		}
+		c.waves[event.Value.Key] = wave.Number
+		c.tables.Waves = slices.DeleteFunc(c.tables.Waves, func(w apmachine.Wave) bool { return w.Number == wave.Number })
+		c.tables.Waves = append(c.tables.Waves, wave)
+	}
+}
+
+func (c *Controller) applyPools(update apstore.Update) {
+	for _, event := range update.Events {
+		name := apfleet.ServiceName(event.Value.Key[len(apjournal.PrefixPools):])
+		var pool apmachine.Pool
+		if event.Removed || apfleet.Decode(event.Value.Data, &pool) != nil {
+			delete(c.tables.Pools, name)
+			continue
+		}
+		c.tables.Pools[name] = pool
+	}
+}
+
+func (c *Controller) loop(ctx context.Context) error {
+	ticker := time.NewTicker(tickTime)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case event := <-c.events:
+			event()
+			continue
+		case <-ticker.C:
+		}
+		if err := c.step(ctx, time.Now()); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Controller) step(ctx context.Context, now time.Time) error {
+	if err := c.newWaves(ctx, now); err != nil {
+		return err
+	}
+	age := listIdle
+	if len(c.tables.Waves) > 0 || len(c.tables.Disruptions) > 0 {
+		age = listBusy
+	}
+	if c.settled() && now.Sub(c.listed) < listIdle && len(c.tables.Disruptions) == 0 {
+		return nil
+	}
+	if now.Sub(c.listed) >= age && !c.list(ctx, now) {
+		return nil
+	}
+	c.tables.Now = now
+	if table := c.config.Queues(); table != nil {
+		for _, s := range table.Services {
+			if s.Spare {
+				c.tables.Spare = s.Name
+			}
+		}
+	}
+	return c.execute(ctx, apmachine.Plan(&c.tables), now)
+}
+
+// settled reports whether all waves are done.
+func (c *Controller) settled() bool {
+	for _, w := range c.tables.Waves {
+		if !c.tables.Finished[w.Number].Completed {
+			return false
+		}
+	}
+	return true
+}
+
+// newWaves reads how far waves have come that were not seen before, and tells the operator that they
+// run.
+func (c *Controller) newWaves(ctx context.Context, now time.Time) error {
+	for _, w := range c.tables.Waves {
+		if _, known := c.tables.Since[w.Number]; known {
+			continue
+		}
+		value, err := c.config.Ledger.Read(ctx, waveKey(w.Number))
+		if err != nil {
+			// Looked at again in the next step.
+			return nil //nolint:nilerr // The store's absence is logged where it is followed.
+		}
+		var finished apmachine.Finished
+		if value.Revision != 0 {
+			if err := apfleet.Decode(value.Data, &finished); err != nil {
+				c.config.Log("WaveUnreadable", map[string]any{"Key": value.Key, "Error": err})
+			}
+		}
+		c.tables.Since[w.Number] = now
+		c.tables.Finished[w.Number] = finished
+		c.config.Log("WaveSeen", map[string]any{
+			"Wave": w.Number, "Machines": len(w.Machines), "Done": len(finished.Machines), "MaxCount": w.MaxCount, "Duration": w.Duration,
+		})
+		if err := c.write(ctx, c.status(w.Number, finished.Completed)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func waveKey(number int) apfleet.Key {
+	return apjournal.PrefixWaves + apfleet.Key(strconv.Itoa(number))
+}
+
+// list reads the list of machines; those that are away by our order don't count as up.
+func (c *Controller) list(ctx context.Context, now time.Time) bool {
+	machines, err := c.config.Machines.List(ctx)
+	if err != nil {
+		c.config.Log("MachinesUnread", map[string]any{"Error": err, "AgeMs": now.Sub(c.listed).Milliseconds()})
+		return false
+	}
+	c.listed = now
+	for i := range machines {
+		m := &machines[i]
+		away, ok := c.carried[m.Name]
+		if !ok {
+			continue
+		}
+		if now.Sub(away.at) < c.config.Away || m.State == apmachine.StateUp && away.worker != "" && m.Worker == away.worker {
+			m.State = apmachine.StateUpkeep
+		} else if m.State == apmachine.StateUp {
+			delete(c.carried, m.Name)
+		}
+	}
+	c.tables.Machines = machines
+	return true
+}
+
+func (c *Controller) execute(ctx context.Context, actions []apmachine.Action, now time.Time) error {
+	var write apjournal.Write
+	var opened []apmachine.Disruption
+	var orders []apmachine.Disruption
+	for _, action := range actions {
+		if len(write.Puts)+len(write.Removals) >= maxChanges {
+			break
+		}
+		switch action := action.(type) {
+		case apmachine.Open:
+			d := action.Disruption
+			c.config.Log("DisruptionOpened", map[string]any{"Machine": d.Machine, "Worker": d.Worker, "Pool": d.Pool, "Wave": d.Wave, "Target": d.Target, "ListAgeMs": now.Sub(c.listed).Milliseconds()})
+			write.Puts = append(write.Puts, apstore.Put{Key: disruptionKey(d.Machine), Data: apfleet.Encode(d)})
+			opened = append(opened, d)
+		case apmachine.Close:
+			c.config.Log("DisruptionClosed", map[string]any{"Machine": action.Machine, "Why": action.Why})
+			write.Removals = append(write.Removals, disruptionKey(action.Machine))
+			delete(c.tables.Disruptions, action.Machine)
+		case apmachine.Carry:
+			if now.After(c.retryAt[action.Disruption.Machine]) && c.mayOrder(now) {
+				orders = append(orders, action.Disruption)
+			}
+		case apmachine.Complete:
+			finished := c.tables.Finished[action.Wave]
+			finished.Completed = true
+			c.tables.Finished[action.Wave] = finished
+			c.config.Log("WaveCompleted", map[string]any{"Wave": action.Wave, "AfterMs": now.Sub(c.tables.Since[action.Wave]).Milliseconds()})
+			write.Puts = append(write.Puts, apstore.Put{Key: waveKey(action.Wave), Data: apfleet.Encode(finished)})
+			write.Puts = append(write.Puts, c.status(action.Wave, true).Puts...)
+		}
+	}
+	if len(write.Puts)+len(write.Removals) > 0 {
+		if err := c.write(ctx, write); err != nil {
+			return err
+		}
+	}
+	for _, d := range opened {
+		d.Revision = c.config.Journal.Revision()
+		c.tables.Disruptions[d.Machine] = d
+	}
+	return c.order(ctx, orders)
+}
+
+// mayOrder holds a new holder back while orders of the last one may still be answered.
+func (c *Controller) mayOrder(now time.Time) bool {
+	return c.config.Journal.Epoch() == 1 || now.Sub(c.started) >= c.config.OrderLease
+}
+
+func disruptionKey(name apmachine.Name) apfleet.Key {
+	return apjournal.PrefixDisruptions + apfleet.Key(name)
+}
+
+// order sends orders together, then stores what was done.
+func (c *Controller) order(ctx context.Context, orders []apmachine.Disruption) error {
+	if len(orders) == 0 {
+		return nil
+	}
+	results := make([]error, len(orders))
+	group := &errgroup.Group{}
+	group.SetLimit(maxOrders)
+	for i, d := range orders {
+		group.Go(func() error {
+			results[i] = c.config.Machines.Carry(ctx, d, c.config.Journal.Fence())
+			return nil
+		})
+	}
+	_ = group.Wait()
+	var write apjournal.Write
+	changed := make(map[int]bool)
+	for i, d := range orders {
+		if err := c.ordered(d, results[i], &write, changed); err != nil {
+			return err
+		}
+	}
+	for _, number := range slices.Sorted(maps.Keys(changed)) {
+		data := apfleet.Encode(c.tables.Finished[number])
+		write.Puts = append(write.Puts, apstore.Put{Key: waveKey(number), Data: data})
+	}
+	if len(write.Puts)+len(write.Removals) == 0 {
+		return nil
+	}
+	return c.write(ctx, write)
+}
+
+// ordered notes the answer to one order.
+func (c *Controller) ordered(d apmachine.Disruption, err error, write *apjournal.Write, changed map[int]bool) error {
+	now := time.Now()
+	c.config.Log("MachineOrdered", map[string]any{"Machine": d.Machine, "Worker": d.Worker, "Wave": d.Wave, "Target": d.Target, "Error": err})
+	switch apcode.Of(err) {
+	case apcode.OK:
+		c.carried[d.Machine] = carried{at: now, worker: d.Worker}
+		if i, ok := c.row(d.Machine); ok {
+			c.tables.Machines[i].State = apmachine.StateUpkeep
+		}
+		if d.Kind == apmachine.KindUpkeep {
+			finished := c.tables.Finished[d.Wave]
+			finished.Machines = append(slices.Clone(finished.Machines), d.Machine)
+			c.tables.Finished[d.Wave] = finished
+			changed[d.Wave] = true
+		}
+	case apcode.StaleFence:
+		return err
+	case apcode.NoSuchWave, apcode.NoSuchVM:
+		// Refused for good: the machine isn't of that wave or has left.
+	default:
+		c.retryAt[d.Machine] = now.Add(retryGap)
+		return nil
+	}
+	write.Removals = append(write.Removals, disruptionKey(d.Machine))
+	delete(c.tables.Disruptions, d.Machine)
+	return nil
+}
+
+func (c *Controller) row(name apmachine.Name) (int, bool) {
+	i := slices.IndexFunc(c.tables.Machines, func(m apmachine.Machine) bool { return m.Name == name })
+	return i, i >= 0
+}
+
+func (c *Controller) status(number int, completed bool) apjournal.Write {
+	key, data, err := c.config.Waves.Status(number, completed)
+	if err != nil {
+		c.config.Log("WaveStatusUnwritten", map[string]any{"Wave": number, "Error": err})
+		return apjournal.Write{}
+	}
+	return apjournal.Write{Puts: []apstore.Put{{Key: key, Data: data}}}
+}
+
+func (c *Controller) write(ctx context.Context, write apjournal.Write) error {
+	return c.config.Journal.Store(ctx, write, func(err error) {
+		c.config.Log("StoreFailed", map[string]any{"Shard": apjournal.Machines, "Error": err})
+	})
+}
--- a/internal/apnode/apnode.go
+++ b/internal/apnode/apnode.go
@@ -15,6 +15,7 @@
 	"github.com/urfave/negroni/v3"
 	"golang.org/x/sync/errgroup"
 
+	"auburnport/internal/apcontroller"
 	"auburnport/internal/apintake"
 	"auburnport/internal/apmember"
 	"auburnport/internal/apowner"
@@ -22,6 +23,7 @@
 	"auburnport/pkg/apfleet"
 	"auburnport/pkg/apjob"
 	"auburnport/pkg/apjournal"
+	"auburnport/pkg/apmachine"
 	"auburnport/pkg/apqueue"
 	"auburnport/pkg/apscheduler"
 	"auburnport/pkg/apstore"
@@ -59,6 +61,7 @@
 	metrics  metrics.Registry
 	store    *apadapter.Store
 	workers  *apadapter.Workers
+	machines *apadapter.Machines
 	intake   *apintake.Intake
 	callers  *apadapter.Callers
 	member   *apmember.Member
@@ -70,6 +73,7 @@
 	n := &Node{settings: settings, logger: logger, metrics: metrics.NewRegistry()}
 	n.store = apadapter.NewStore(apadapter.NewClient(0), settings.Store)
 	n.workers = apadapter.NewWorkers(apadapter.NewClient(workerConnections))
+	n.machines = apadapter.NewMachines(apadapter.NewClient(0), settings.Machines, settings.Node)
 	options := apintake.DefaultOptions()
 	options.MaxSettingsAge = time.Duration(freshness * float64(settings.Bounds.Config))
 	n.intake = apintake.New(n.store, options, n.logRequest)
@@ -201,6 +205,9 @@
 		return nil
 	}
 	var shards []apjournal.Shard
+	if n.settings.Machines.IsValid() {
+		shards = append(shards, apjournal.Machines)
+	}
 	for _, pool := range table.Pools() {
 		shards = append(shards, apjournal.Shard(pool))
 	}
@@ -209,6 +216,9 @@
 
 // own runs a shard that this entry has claimed.
 func (n *Node) own(ctx context.Context, shard apjournal.Shard, journal *apjournal.Journal) error {
+	if shard == apjournal.Machines {
+		return n.control(ctx, journal)
+	}
 	bounds := n.settings.Bounds
 	owner := apowner.New(apowner.Config{
 		Shard: shard, Ledger: n.store, Workers: n.workers, Registry: registry{}, Journal: journal,
@@ -224,6 +234,29 @@
 	return owner.Run(ctx)
 }
 
+// control runs the shard of machines.
+func (n *Node) control(ctx context.Context, journal *apjournal.Journal) error {
+	bounds := n.settings.Bounds
+	return apcontroller.New(apcontroller.Config{
+		Ledger: n.store, Journal: journal, Machines: n.machines, Waves: waves{}, Queues: n.table.Load, Log: n.logEvent,
+		OrderLease: bounds.OrderLease, Away: min(bounds.Upkeep, bounds.Move),
+	}).Run(ctx)
+}
+
+// waves reads and writes the operators' waves.
+type waves struct{}
+
+// Prefix implements apcontroller.Waves.
+func (waves) Prefix() apfleet.Key { return apadapter.PrefixWaves }
+
+// Parse implements apcontroller.Waves.
+func (waves) Parse(data []byte) (apmachine.Wave, error) { return apadapter.ParseWave(data) }
+
+// Status implements apcontroller.Waves.
+func (waves) Status(number int, completed bool) (apfleet.Key, []byte, error) {
+	return apadapter.WaveStatus(number, completed)
+}
+
 // registry reads the platform's registrations of workers.
 type registry struct{}
 
--- a/internal/apowner/apowner.go
+++ b/internal/apowner/apowner.go
@@ -12,6 +12,7 @@
 	"auburnport/pkg/apfleet"
 	"auburnport/pkg/apjob"
 	"auburnport/pkg/apjournal"
+	"auburnport/pkg/apmachine"
 	"auburnport/pkg/apqueue"
 	"auburnport/pkg/apscheduler"
 	"auburnport/pkg/apstore"
@@ -69,6 +70,8 @@
 	maxOrders = 256
 	// waitingGap is how old the stored counts of waiting jobs may be.
 	waitingGap = time.Second
+	// poolGap is how old the stored account of the pool may be.
+	poolGap = 400 * time.Millisecond
 	// eventQueue bounds the events that wait for the loop.
 	eventQueue = 1024
 )
@@ -92,7 +95,13 @@
 	retired   map[apjob.ID]time.Time
 	fatal     error
 	stopping  bool
-	cordons   map[apjob.WorkerID]bool
+	// disrupted holds the revision of each disruption of a worker.
+	disrupted map[apjob.WorkerID]apstore.Revision
+	// machines holds the worker that each disruption's key names.
+	machines map[apfleet.Key]apjob.WorkerID
+	// pool is what the store says of the shard's pool.
+	pool   apmachine.Pool
+	poolAt time.Time
 }
 
 // New returns an owner of a claimed shard.
@@ -102,6 +111,9 @@
 		shard:  apscheduler.New(config.Journal.Fence(), config.Scheduler...),
 		events: make(chan func(time.Time), eventQueue),
 		held:   make(map[apjob.WorkerID]bool),
+
+		disrupted: make(map[apjob.WorkerID]apstore.Revision),
+		machines:  make(map[apfleet.Key]apjob.WorkerID),
 	}
 }
 
@@ -113,6 +125,9 @@
 	if err != nil {
 		return err
 	}
+	if err := o.loadDisruptions(ctx); err != nil {
+		return err
+	}
 	o.load(state, time.Now())
 	o.config.Log("ShardOwned", map[string]any{
 		"Shard": o.config.Shard, "Fence": o.config.Journal.Fence(), "Epoch": o.config.Journal.Epoch(),
@@ -125,6 +140,7 @@
 	o.orders.SetLimit(maxOrders)
 	group.Go(func() error { return o.followInbox(inner) })
 	group.Go(func() error { return o.followWorkers(inner) })
+	group.Go(func() error { return o.followDisruptions(inner) })
 	group.Go(func() error {
 		defer cancel()
 		return o.loop(ctx, inner)
--- /dev/null
+++ b/internal/apowner/pool.go
@@ -0,0 +1,88 @@
+package apowner
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"auburnport/pkg/apfleet"
+	"auburnport/pkg/apjob"
+	"auburnport/pkg/apjournal"
+	"auburnport/pkg/apmachine"
+	"auburnport/pkg/apstore"
+)
+
+// loadDisruptions reads which workers are being emptied, so that none of them gets a run again.
+func (o *Owner) loadDisruptions(ctx context.Context) error {
+	page, err := o.config.Ledger.Scan(ctx, apjournal.PrefixDisruptions)
+	if err != nil {
+		return err
+	}
+	update := apstore.Update{Reset: true}
+	for _, value := range page.Values {
+		update.Events = append(update.Events, apstore.Event{Value: value})
+	}
+	o.disrupt(update)
+	return nil
+}
+
+// followDisruptions passes changes of the disruptions to the loop.
+func (o *Owner) followDisruptions(ctx context.Context) error {
+	tail := apstore.Tail{Ledger: o.config.Ledger, Prefix: apjournal.PrefixDisruptions, Wait: watchWait, Gap: disruptionGap, Backoff: watchBackoff}
+	return tail.Run(ctx, func(update apstore.Update) {
+		if update.Err == nil {
+			o.post(ctx, func(time.Time) { o.disrupt(update) })
+		}
+	})
+}
+
+// disruptionGap is the least time between two readings of disruptions.
+const disruptionGap = 100 * time.Millisecond
+
+func (o *Owner) disrupt(update apstore.Update) {
+	if update.Reset {
+		clear(o.disrupted)
+	}
+	for _, event := range update.Events {
+		if event.Removed {
+			maps.DeleteFunc(o.disrupted, func(id apjob.WorkerID, _ apstore.Revision) bool {
+				return o.machines[event.Value.Key] == id
+			})
+			delete(o.machines, event.Value.Key)
+			continue
+		}
+		var d apmachine.Disruption
+		if err := apfleet.Decode(event.Value.Data, &d); err != nil {
+			o.config.Log("DisruptionUnreadable", map[string]any{"Key": event.Value.Key, "Error": err})
+			continue
+		}
+		if d.Pool == apfleet.ServiceName(o.config.Shard) && d.Worker != "" {
+			o.disrupted[d.Worker] = event.Value.Revision
+			o.machines[event.Value.Key] = d.Worker
+		}
+	}
+	cordoned := make(map[apjob.WorkerID]bool, len(o.disrupted))
+	for id := range o.disrupted {
+		cordoned[id] = true
+	}
+	o.shard.Cordon(cordoned)
+}
+
+// account returns what the pool's owner says of it, and whether it must be stored.
+func (o *Owner) account(now time.Time) (apmachine.Pool, bool) {
+	empty := make(map[apjob.WorkerID]apstore.Revision)
+	for id, revision := range o.disrupted {
+		if o.shard.Empty(id) {
+			empty[id] = revision
+		}
+	}
+	due := now.Sub(o.poolAt) >= poolGap
+	if !due && maps.Equal(empty, o.pool.Empty) {
+		return apmachine.Pool{}, false
+	}
+	load := o.shard.PoolLoad()
+	pool := apmachine.Pool{Empty: empty, Lasting: load.Lasting, Used: load.Used, Queued: load.Queued, Widest: load.Widest}
+	same := maps.Equal(empty, o.pool.Empty) && maps.Equal(pool.Lasting, o.pool.Lasting) &&
+		maps.Equal(pool.Used, o.pool.Used) && pool.Queued == o.pool.Queued && pool.Widest == o.pool.Widest
+	return pool, !same
+}
--- a/internal/apowner/store.go
+++ b/internal/apowner/store.go
@@ -21,7 +21,8 @@
 	waiting := o.shard.Waiting()
 	counted := now.Sub(o.waitingAt) >= waitingGap && !maps.Equal(waiting, o.waiting)
 	purge := o.purge()
-	if !o.shard.BatchDue() && !counted && len(purge) == 0 {
+	pool, accounted := o.account(now)
+	if !o.shard.BatchDue() && !counted && !accounted && len(purge) == 0 {
 		return
 	}
 	batch := o.shard.NextBatch()
@@ -32,6 +33,11 @@
 		data := apfleet.Encode(apjournal.Waiting{Queues: waiting})
 		write.Puts = append(write.Puts, apstore.Put{Key: apjournal.WaitingKey(o.config.Shard), Data: data})
 	}
+	if accounted {
+		o.pool, o.poolAt = pool, now
+		key := apjournal.PrefixPools + apfleet.Key(o.config.Shard)
+		write.Puts = append(write.Puts, apstore.Put{Key: key, Data: apfleet.Encode(pool)})
+	}
 	o.storing = true
 	o.calls.Go(func() error {
 		began := time.Now()
--- a/pkg/apjournal/apjournal.go
+++ b/pkg/apjournal/apjournal.go
@@ -69,6 +69,19 @@
 // WaitingKey returns the key of the shard's counts of waiting jobs.
 func WaitingKey(shard Shard) apfleet.Key { return prefix + "waiting/" + apfleet.Key(shard) }
 
+// Prefixes of what the controller of machines and the owners of pools tell each other.
+const (
+	// PrefixDisruptions holds the machines that are being emptied.
+	PrefixDisruptions apfleet.Key = prefix + "disruption/"
+	// PrefixPools holds what each pool's owner says of it.
+	PrefixPools apfleet.Key = prefix + "pool/"
+	// PrefixWaves holds how far each wave is.
+	PrefixWaves apfleet.Key = prefix + "wave/"
+)
+
+// Machines is the shard of all machines: its owner alone moves and maintains them.
+const Machines Shard = "-machines"
+
 // epochKey orders the writes of a shard: every write replaces it.
 func epochKey(shard Shard) apfleet.Key { return prefix + "epoch/" + apfleet.Key(shard) }
 
@@ -198,6 +211,9 @@
 // Fence returns the fencing token of this ownership.
 func (j *Journal) Fence() uint64 { return j.fence }
 
+// Revision returns the revision of the last write.
+func (j *Journal) Revision() apstore.Revision { return j.revision }
+
 // Epoch returns the number of this ownership.
 func (j *Journal) Epoch() uint64 { return j.epoch.Number }
 
--- /dev/null
+++ b/pkg/apmachine/apmachine.go
@@ -0,0 +1,141 @@
+// Package apmachine decides which machines are maintained or moved between pools, and when. It does no
+// I/O: tables go in, actions come out.
+package apmachine
+
+import (
+	"time"
+
+	"auburnport/pkg/apcode"
+	"auburnport/pkg/apfleet"
+	"auburnport/pkg/apjob"
+	"auburnport/pkg/apstore"
+)
+
+// Name names a machine; it keeps its name across moves and upkeep.
+type Name string
+
+// State is what the platform says of a machine.
+type State uint8
+
+// States of a machine.
+const (
+	StateUnknown State = iota
+	StateUp
+	StateMoving
+	StateUpkeep
+	StateDown
+)
+
+// Machine is a row of the platform's list.
+type Machine struct {
+	Name  Name
+	Pool  apfleet.ServiceName
+	State State
+	Rack  apfleet.Rack
+	// Worker is the machine's present life; empty while it has none.
+	Worker   apjob.WorkerID
+	Capacity apjob.Resources
+}
+
+// Wave asks for the upkeep of machines.
+type Wave struct {
+	Number   int
+	Machines []Name
+	Duration time.Duration
+	// MaxCount bounds the machines that are down at once.
+	MaxCount int
+}
+
+// Kind is what a disruption is for.
+type Kind uint8
+
+// Kinds of disruptions.
+const (
+	KindUpkeep Kind = iota
+	KindMove
+)
+
+// Disruption is a machine that is being emptied, for one life of its worker.
+type Disruption struct {
+	Machine Name                `cbor:"Machine"`
+	Worker  apjob.WorkerID      `cbor:"Worker"`
+	Pool    apfleet.ServiceName `cbor:"Pool"`
+	Kind    Kind                `cbor:"Kind"`
+	// Wave is set for upkeep, Target for a move.
+	Wave   int                 `cbor:"Wave"`
+	Target apfleet.ServiceName `cbor:"Target"`
+	// Revision is where the store has the disruption; a pool names it when the worker is empty.
+	Revision apstore.Revision `cbor:"-"`
+}
+
+// Check returns BadMessage for a disruption of nothing.
+func (d Disruption) Check() error {
+	if d.Machine == "" || d.Kind > KindMove {
+		return apcode.Errorf(apcode.BadMessage, "disruption without a machine or of an unknown kind")
+	}
+	return nil
+}
+
+// Pool is what a pool's owner says of it.
+type Pool struct {
+	// Empty holds the disrupted workers on which nothing runs, with the revision of the disruption.
+	Empty map[apjob.WorkerID]apstore.Revision `cbor:"Empty"`
+	// Lasting counts the long-running tasks of each worker.
+	Lasting map[apjob.WorkerID]int `cbor:"Lasting"`
+	// Used counts the processor time booked on each worker, in thousandths of a core.
+	Used map[apjob.WorkerID]int64 `cbor:"Used"`
+	// Queued is the work that waits for room, in thousandths of a core times seconds.
+	Queued int64 `cbor:"Queued"`
+	// Widest is how many workers the widest long-running step needs.
+	Widest int `cbor:"Widest"`
+}
+
+// Check accepts every pool.
+func (p Pool) Check() error { return nil }
+
+// Finished lists the machines of a wave whose upkeep has begun.
+type Finished struct {
+	Machines []Name `cbor:"Machines"`
+	// Completed tells that the operator has been told.
+	Completed bool `cbor:"Completed"`
+}
+
+// Check accepts every list.
+func (f Finished) Check() error { return nil }
+
+// Tables are all that a decision is taken on.
+type Tables struct {
+	Now      time.Time
+	Machines []Machine
+	// Spare is the pool of machines that are off.
+	Spare apfleet.ServiceName
+	Waves []Wave
+	// Since is when a wave was first seen.
+	Since       map[int]time.Time
+	Finished    map[int]Finished
+	Disruptions map[Name]Disruption
+	Pools       map[apfleet.ServiceName]Pool
+}
+
+// Action is a step to be carried out.
+type Action interface{ action() }
+
+// Open begins to empty a machine.
+type Open struct{ Disruption Disruption }
+
+// Close ends a disruption that is done or no longer wanted.
+type Close struct {
+	Machine Name
+	Why     string
+}
+
+// Carry orders the platform to do what an emptied machine was emptied for.
+type Carry struct{ Disruption Disruption }
+
+// Complete tells the operator that a wave is done.
+type Complete struct{ Wave int }
+
+func (Open) action()     {}
+func (Close) action()    {}
+func (Carry) action()    {}
+func (Complete) action() {}
--- a/pkg/apscheduler/apscheduler.go
+++ b/pkg/apscheduler/apscheduler.go
@@ -83,6 +83,8 @@
 	jobs    map[apjob.ID]*job
 	workers map[apjob.WorkerID]*worker
 	queues  map[apjob.Queue]Queue
+	// cordoned workers get no new runs and are emptied.
+	cordoned map[apjob.WorkerID]bool
 	// dirty lists the jobs whose progress is not stored yet, oldest first.
 	dirty []apjob.ID
 	// active holds the jobs that are not final.
--- a/pkg/apscheduler/batch_test.go
+++ b/pkg/apscheduler/batch_test.go
@@ -11,7 +11,7 @@
 	"auburnport/pkg/apstore"
 )
 
-// A batch with the condition, the epoch, the counts and two removals must fit one transaction, also
+// A batch with the condition, the epoch, the counts, the pool and two removals must fit one transaction, also
 // when every job in it is retired.
 func TestBatchesFitATransaction(t *testing.T) {
 	s := apscheduler.New(1)
@@ -23,7 +23,7 @@
 	jobs := 0
 	for s.BatchDue() {
 		batch := s.NextBatch()
-		entries := 5
+		entries := 6
 		for _, r := range batch.Records {
 			entries += r.Entries()
 			assert.Assert(t, r.Retired)
--- a/pkg/apscheduler/options.go
+++ b/pkg/apscheduler/options.go
@@ -37,8 +37,8 @@
 type Option func(*Options)
 
 // maxBatchEntries leaves room in a transaction for its condition, the epoch, the counts of waiting
-// jobs and two removals.
-const maxBatchEntries = apstore.MaxTransactionEntries - 5
+// jobs, the account of the pool and two removals.
+const maxBatchEntries = apstore.MaxTransactionEntries - 6
 
 func defaultOptions() Options {
 	return Options{
--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -66,12 +66,13 @@
 func (s *Shard) Plan(now, wall time.Time) {
 	s.expire(now)
 	s.beginDue(wall)
+	open := s.openWorkers(now)
+	s.evacuate(open, now)
 	candidates := s.candidates(now)
 	if len(candidates) == 0 {
 		return
 	}
 	slices.SortFunc(candidates, compareCandidates)
-	open := s.openWorkers(now)
 	for i := range candidates {
 		if len(open) == 0 {
 			return
@@ -172,7 +173,7 @@
 func (s *Shard) openWorkers(now time.Time) []*worker {
 	var open []*worker
 	for _, w := range s.workers {
-		if w.registered && w.reached && !w.info.Draining && !w.cordoned && w.foreign == 0 &&
+		if w.registered && w.reached && !w.info.Draining && !s.cordoned[w.info.ID] && w.foreign == 0 &&
 			now.Sub(w.lastOK) <= s.options.MaxSilence && !now.Before(w.retryAt) && !w.health.quarantined(now) {
 			open = append(open, w)
 		}
--- a/pkg/apscheduler/worker.go
+++ b/pkg/apscheduler/worker.go
@@ -50,8 +50,6 @@
 type worker struct {
 	info       apworker.Info
 	registered bool
-	// cordoned workers get no new runs and are emptied.
-	cordoned bool
 	// reached tells that the worker has answered under this fence.
 	reached bool
 	// clock was the worker's clock at clockAt.
@@ -122,18 +120,20 @@
 	}
 }
 
-// Cordon tells whether a worker is to be emptied.
-func (s *Shard) Cordon(id apjob.WorkerID, cordoned bool) {
-	if w, ok := s.workers[id]; ok && w.cordoned != cordoned {
-		w.cordoned = cordoned
-		s.log("WorkerCordoned", apjob.RunKey{}, id, map[string]any{"Cordoned": cordoned})
+// Cordon replaces the set of workers that get no new runs and are emptied.
+func (s *Shard) Cordon(cordoned map[apjob.WorkerID]bool) {
+	for id := range cordoned {
+		if !s.cordoned[id] {
+			s.log("WorkerCordoned", apjob.RunKey{}, id, nil)
+		}
 	}
+	s.cordoned = cordoned
 }
 
-// Empty reports whether nothing can be running on a worker.
+// Empty reports whether nothing runs on a cordoned worker and nothing can start there.
 func (s *Shard) Empty(id apjob.WorkerID) bool {
 	w, ok := s.workers[id]
-	return !ok || w.reached && len(w.occupants) == 0 && w.foreign == 0
+	return ok && s.cordoned[id] && w.reached && len(w.occupants) == 0 && w.foreign == 0
 }
 
 func (s *Shard) worker(id apjob.WorkerID, now time.Time) *worker {
