--- a/pkg/apscheduler/evacuate.go
+++ b/pkg/apscheduler/evacuate.go
@@ -36,7 +36,7 @@
 	if s.choose(step, use, open, nil) == nil {
 		return
 	}
-	if !w.info.Draining && s.away(run.Task, tasks) >= max(1, step.MaxUnavailable) {
+	if !w.info.Draining && s.away(run.Task, tasks, now) >= max(1, step.MaxUnavailable) {
 		return
 	}
 	s.log("TaskEvacuated", run, w.info.ID, map[string]any{"Draining": w.info.Draining, "MaxUnavailable": step.MaxUnavailable})
@@ -44,19 +44,21 @@
 }
 
 // away counts the other tasks of a long-running step that are not at work.
-func (s *Shard) away(id apjob.TaskID, tasks []apjob.Task) int {
+func (s *Shard) away(id apjob.TaskID, tasks []apjob.Task, now time.Time) int {
 	away := 0
 	for k := range tasks {
-		if k != id.Index && !s.atWork(apjob.TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step, Index: k}, &tasks[k]) {
+		if k != id.Index && !s.atWork(apjob.TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step, Index: k}, &tasks[k], now) {
 			away++
 		}
 	}
 	return away
 }
 
-func (s *Shard) atWork(id apjob.TaskID, t *apjob.Task) bool {
+// atWork reports whether a long-running task was at work a moment ago: a worker that is silent may be
+// down.
+func (s *Shard) atWork(id apjob.TaskID, t *apjob.Task, now time.Time) bool {
 	w := s.workers[t.Worker]
-	if t.Worker == "" || w == nil {
+	if t.Worker == "" || w == nil || now.Sub(w.lastOK) > s.options.MaxSilence {
 		return false
 	}
 	o := w.occupants[apjob.RunKey{Task: id, Run: t.Run}]
--- /dev/null
+++ b/pkg/apscheduler/evacuate_test.go
@@ -0,0 +1,69 @@
+package apscheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"auburnport/pkg/apjob"
+	"auburnport/pkg/apscheduler"
+	"auburnport/pkg/apworker"
+)
+
+// lastingWorld runs a step of two long-running tasks, at most one a worker, on three workers.
+func lastingWorld(t *testing.T) (*apscheduler.Shard, map[apjob.WorkerID]apjob.RunKey) {
+	t.Helper()
+	s := apscheduler.New(1)
+	for _, id := range []apjob.WorkerID{"w1", "w2", "w3"} {
+		s.Register(workerInfo(id, 4000), start)
+		s.Report(id, apworker.Report{Clock: time.Second}, start, start)
+	}
+	s.Submit(job(apjob.Step{Count: 2, Need: apjob.Resources{CPU: 1000}, LongRunning: true, MaxPerWorker: 1, MaxUnavailable: 1}), 0, start)
+	s.Plan(start, start)
+	storeAll(s)
+	at := make(map[apjob.WorkerID]apjob.RunKey)
+	for _, order := range s.Orders(start) {
+		if o, ok := order.(apscheduler.Start); ok {
+			at[o.To.ID] = o.Order.Run
+			s.Answered(o.To.ID, o.Order.Run, false, nil, start)
+		}
+	}
+	assert.Equal(t, len(at), 2)
+	return s, at
+}
+
+// work reports that a worker's task is at work.
+func work(s *apscheduler.Shard, id apjob.WorkerID, run apjob.RunKey, now time.Time) {
+	s.Report(id, apworker.Report{Clock: time.Second + now.Sub(start), Running: []apworker.Running{{Run: run, Percent: 100}}}, now, now)
+}
+
+func TestEvacuationWaitsForTasksThatAreAway(t *testing.T) {
+	s, at := lastingWorld(t)
+	var ids []apjob.WorkerID
+	for id := range at {
+		ids = append(ids, id)
+	}
+	now := start.Add(time.Second)
+	for id, run := range at {
+		work(s, id, run, now)
+	}
+	s.Report("w3", apworker.Report{Clock: 2 * time.Second}, now, now)
+	// The other task's worker falls silent; the pool does not know yet whether it is down.
+	now = now.Add(2 * time.Second)
+	work(s, ids[0], at[ids[0]], now)
+	for _, id := range []apjob.WorkerID{"w1", "w2", "w3"} {
+		if at[id].Run == 0 {
+			s.Report(id, apworker.Report{Clock: 4 * time.Second}, now, now)
+		}
+	}
+	s.Cordon(map[apjob.WorkerID]bool{ids[0]: true})
+	s.Plan(now, now)
+	storeAll(s)
+	assert.Equal(t, len(stops(s.Orders(now))), 0, "a task was stopped while another was away")
+
+	work(s, ids[1], at[ids[1]], now)
+	s.Plan(now, now)
+	assert.DeepEqual(t, stops(s.Orders(now)), []apjob.RunKey{at[ids[0]]})
+	assert.Assert(t, !s.Empty(ids[0]))
+}
