--- a/internal/apnode/apnode.go
+++ b/internal/apnode/apnode.go
@@ -54,6 +54,10 @@
 	usualLease = 4 * time.Second
 )
 
+// fencingTime bounds how long an owner that has lost its shard goes on extending leases: until one of its
+// workers, each asked in less than a second, has seen the successor's fence.
+const fencingTime = 1200 * time.Millisecond
+
 // Node is one entry.
 type Node struct {
 	settings apadapter.Settings
@@ -224,8 +228,8 @@
 		Shard: shard, Ledger: n.store, Workers: n.workers, Registry: registry{}, Journal: journal,
 		Queues: n.table.Load, Log: n.logEvent, Observe: n.observe,
 		Scheduler: []apscheduler.Option{apscheduler.WithOptions(func(o *apscheduler.Options) {
-			o.MaxLease = bounds.MaxLease
 			o.Lease = min(usualLease, time.Duration(leaseShare*float64(bounds.MaxLease)))
+			o.MaxLease = min(o.Lease+fencingTime, bounds.MaxLease)
 			o.StopTime = bounds.StopTime
 			o.FarFactor = bounds.FarFactor
 			o.Notice = bounds.Notice
--- a/pkg/apscheduler/options.go
+++ b/pkg/apscheduler/options.go
@@ -10,7 +10,8 @@
 type Options struct {
 	// Lease is how long a worker goes on without a word from the owner.
 	Lease time.Duration
-	// MaxLease is the longest lease that a worker grants; an earlier owner may have had it.
+	// MaxLease is the longest time after the claim of a shard for which its earlier owner may have
+	// extended a lease.
 	MaxLease time.Duration
 	// ClockDrift is how much slower than ours a worker's clock may be.
 	ClockDrift float64
@@ -43,7 +44,7 @@
 func defaultOptions() Options {
 	return Options{
 		Lease:        4 * time.Second,
-		MaxLease:     10 * time.Second,
+		MaxLease:     5200 * time.Millisecond,
 		ClockDrift:   0.02,
 		StopTime:     400 * time.Millisecond,
 		ResendAfter:  300 * time.Millisecond,
--- a/pkg/apscheduler/takeover_test.go
+++ b/pkg/apscheduler/takeover_test.go
@@ -86,3 +86,27 @@
 	assert.Equal(t, len(stops(orders)), 0)
 	assert.DeepEqual(t, starts(orders), []apjob.RunKey{{Task: taskID(0, 1), Run: 2}})
 }
+
+// A worker that the successor can't reach may run its tasks until the lease ends that the earlier
+// owner may have given, and no longer: a long-running task must run again within 9 s.
+func TestSuccessorWaitsOutTheLeaseOfASilentWorker(t *testing.T) {
+	def := job(apjob.Step{Count: 1, Need: apjob.Resources{CPU: 1000}, LongRunning: true})
+	progress := apjob.Progress{State: apjob.Running, Occurrences: []apjob.Occurrence{{
+		Steps: [][]apjob.Task{{{Run: 1, Worker: "gone"}}},
+	}}}
+	s := apscheduler.New(2)
+	s.Load(def, progress, 0, start)
+	s.Register(workerInfo("w1", 4000), start)
+	for passed := time.Duration(0); passed < 9*time.Second; passed += 100 * time.Millisecond {
+		now := start.Add(passed)
+		s.Report("w1", apworker.Report{Clock: time.Second + passed}, now, now)
+		s.Plan(now, now)
+		storeAll(s)
+		if runs := starts(s.Orders(now)); len(runs) > 0 {
+			assert.Assert(t, passed > 5200*time.Millisecond, "started after %s", passed)
+			assert.DeepEqual(t, runs, []apjob.RunKey{{Task: taskID(0, 0), Run: 2}})
+			return
+		}
+	}
+	t.Fatal("not started within 9 s")
+}
