Machines move ahead of turns and back to the spare pool

Cause: each pool alone holds half of its turn's demand, while the others stand idle and are paid for. Change: a pool's need follows its used and queued work; when machines are short, each keeps its floor and the rest is shared by need; idle machines go to the spare pool, or straight to the pool that lacks them. Long-running tasks stand together on three workers of a pool.

--- a/internal/apcontroller/apcontroller.go
+++ b/internal/apcontroller/apcontroller.go
@@ -59,10 +59,8 @@
 const (
 	// tickTime is how often decisions are taken.
 	tickTime = 100 * time.Millisecond
-	// listBusy and listIdle are the ages at which the list of machines is read again, with and
-	// without anything under way.
-	listBusy = 400 * time.Millisecond
-	listIdle = 3 * time.Second
+	// listAge is the age at which the list of machines is read again.
+	listAge = 400 * time.Millisecond
 	// watchWait, watchGap and watchBackoff are the times of the watches.
 	watchWait    = 2 * time.Second
 	watchGap     = 150 * time.Millisecond
@@ -88,12 +86,16 @@
 	retryAt map[apmachine.Name]time.Time
 	// waves holds the numbers behind the operators' keys.
 	waves map[apfleet.Key]int
+	// logged is the size and the need of each pool in the last line about it.
+	logged map[apfleet.ServiceName][2]int
 }
 
 // carried is a machine that is away by our order.
 type carried struct {
 	at     time.Time
 	worker apjob.WorkerID
+	// target is the pool that the machine is moved to; empty for upkeep.
+	target apfleet.ServiceName
 }
 
 // New returns a controller of the claimed shard of machines.
@@ -101,9 +103,11 @@
 	return &Controller{
 		config: config, events: make(chan func(), 64),
 		carried: make(map[apmachine.Name]carried), retryAt: make(map[apmachine.Name]time.Time), waves: make(map[apfleet.Key]int),
+		logged: make(map[apfleet.ServiceName][2]int),
 		tables: apmachine.Tables{
 			Since: make(map[int]time.Time), Finished: make(map[int]apmachine.Finished),
 			Disruptions: make(map[apmachine.Name]apmachine.Disruption), Pools: make(map[apfleet.ServiceName]apmachine.Pool),
+			UpSince: make(map[apmachine.Name]time.Time),
 		},
 	}
 }
@@ -220,17 +224,10 @@
 	if err := c.newWaves(ctx, now); err != nil {
 		return err
 	}
-	age := listIdle
-	if len(c.tables.Waves) > 0 || len(c.tables.Disruptions) > 0 {
-		age = listBusy
-	}
-	if c.settled() && now.Sub(c.listed) < listIdle && len(c.tables.Disruptions) == 0 {
-		return nil
-	}
-	if now.Sub(c.listed) >= age && !c.list(ctx, now) {
+	if now.Sub(c.listed) >= listAge && !c.list(ctx, now) {
 		return nil
 	}
-	c.tables.Now = now
+	c.tables.Now, c.tables.Started = now, c.started
 	if table := c.config.Queues(); table != nil {
 		for _, s := range table.Services {
 			if s.Spare {
@@ -238,17 +235,24 @@
 			}
 		}
 	}
-	return c.execute(ctx, apmachine.Plan(&c.tables), now)
+	actions := apmachine.Plan(&c.tables)
+	c.logWants()
+	return c.execute(ctx, actions, now)
 }
 
-// settled reports whether all waves are done.
-func (c *Controller) settled() bool {
-	for _, w := range c.tables.Waves {
-		if !c.tables.Finished[w.Number].Completed {
-			return false
+// logWants writes a line for each pool whose size or need has changed.
+func (c *Controller) logWants() {
+	for pool, want := range c.tables.Wants {
+		size := c.tables.Sizes[pool]
+		if c.logged[pool] == [2]int{size, want.Machines} {
+			continue
 		}
+		c.logged[pool] = [2]int{size, want.Machines}
+		p := c.tables.Pools[pool]
+		c.config.Log("PoolSized", map[string]any{
+			"Pool": pool, "Size": size, "Wanted": want.Machines, "Queued": p.Queued, "Usable": len(p.Used), "Widest": p.Widest,
+		})
 	}
-	return true
 }
 
 // newWaves reads how far waves have come that were not seen before, and tells the operator that they
@@ -295,20 +299,36 @@
 	c.listed = now
 	for i := range machines {
 		m := &machines[i]
-		away, ok := c.carried[m.Name]
-		if !ok {
-			continue
+		if away, ok := c.carried[m.Name]; ok {
+			c.override(m, away, now)
 		}
-		if now.Sub(away.at) < c.config.Away || m.State == apmachine.StateUp && away.worker != "" && m.Worker == away.worker {
-			m.State = apmachine.StateUpkeep
-		} else if m.State == apmachine.StateUp {
-			delete(c.carried, m.Name)
+		if _, up := c.tables.UpSince[m.Name]; m.State == apmachine.StateUp && !up {
+			c.tables.UpSince[m.Name] = now
+		} else if m.State != apmachine.StateUp {
+			delete(c.tables.UpSince, m.Name)
 		}
 	}
 	c.tables.Machines = machines
 	return true
 }
 
+// override shows a machine as away until the list has caught up with our order.
+func (c *Controller) override(m *apmachine.Machine, away carried, now time.Time) {
+	if now.Sub(away.at) < c.config.Away || m.State == apmachine.StateUp && away.worker != "" && m.Worker == away.worker {
+		away.apply(m)
+	} else if m.State == apmachine.StateUp {
+		delete(c.carried, m.Name)
+	}
+}
+
+// apply shows a machine as away.
+func (a carried) apply(m *apmachine.Machine) {
+	m.State = apmachine.StateUpkeep
+	if a.target != "" {
+		m.State, m.Pool = apmachine.StateMoving, a.target
+	}
+}
+
 func (c *Controller) execute(ctx context.Context, actions []apmachine.Action, now time.Time) error {
 	var write apjournal.Write
 	var opened []apmachine.Disruption
@@ -399,9 +419,10 @@
 	c.config.Log("MachineOrdered", map[string]any{"Machine": d.Machine, "Worker": d.Worker, "Wave": d.Wave, "Target": d.Target, "Error": err})
 	switch apcode.Of(err) {
 	case apcode.OK:
-		c.carried[d.Machine] = carried{at: now, worker: d.Worker}
+		away := carried{at: now, worker: d.Worker, target: d.Target}
+		c.carried[d.Machine] = away
 		if i, ok := c.row(d.Machine); ok {
-			c.tables.Machines[i].State = apmachine.StateUpkeep
+			away.apply(&c.tables.Machines[i])
 		}
 		if d.Kind == apmachine.KindUpkeep {
 			finished := c.tables.Finished[d.Wave]
@@ -417,8 +438,10 @@
 		c.retryAt[d.Machine] = now.Add(retryGap)
 		return nil
 	}
-	write.Removals = append(write.Removals, disruptionKey(d.Machine))
-	delete(c.tables.Disruptions, d.Machine)
+	if _, open := c.tables.Disruptions[d.Machine]; open {
+		write.Removals = append(write.Removals, disruptionKey(d.Machine))
+		delete(c.tables.Disruptions, d.Machine)
+	}
 	return nil
 }
 
--- a/internal/apowner/pool.go
+++ b/internal/apowner/pool.go
@@ -80,7 +80,7 @@
 	if !due && maps.Equal(empty, o.pool.Empty) {
 		return apmachine.Pool{}, false
 	}
-	load := o.shard.PoolLoad()
+	load := o.shard.PoolLoad(now)
 	pool := apmachine.Pool{Empty: empty, Lasting: load.Lasting, Used: load.Used, Queued: load.Queued, Widest: load.Widest}
 	same := maps.Equal(empty, o.pool.Empty) && maps.Equal(pool.Lasting, o.pool.Lasting) &&
 		maps.Equal(pool.Used, o.pool.Used) && pool.Queued == o.pool.Queued && pool.Widest == o.pool.Widest
--- a/pkg/apmachine/apmachine.go
+++ b/pkg/apmachine/apmachine.go
@@ -82,7 +82,8 @@
 	Empty map[apjob.WorkerID]apstore.Revision `cbor:"Empty"`
 	// Lasting counts the long-running tasks of each worker.
 	Lasting map[apjob.WorkerID]int `cbor:"Lasting"`
-	// Used counts the processor time booked on each worker, in thousandths of a core.
+	// Used counts the processor time booked on each worker that may get runs, in thousandths of a
+	// core.
 	Used map[apjob.WorkerID]int64 `cbor:"Used"`
 	// Queued is the work that waits for room, in thousandths of a core times seconds.
 	Queued int64 `cbor:"Queued"`
@@ -105,7 +106,9 @@
 
 // Tables are all that a decision is taken on.
 type Tables struct {
-	Now      time.Time
+	Now time.Time
+	// Started is when the controller took over.
+	Started  time.Time
 	Machines []Machine
 	// Spare is the pool of machines that are off.
 	Spare apfleet.ServiceName
@@ -115,6 +118,11 @@
 	Finished    map[int]Finished
 	Disruptions map[Name]Disruption
 	Pools       map[apfleet.ServiceName]Pool
+	// UpSince is when a machine was first listed as up in its present life.
+	UpSince map[Name]time.Time
+	// Wants and Sizes are kept from decision to decision.
+	Wants map[apfleet.ServiceName]Want
+	Sizes map[apfleet.ServiceName]int
 }
 
 // Action is a step to be carried out.
--- a/pkg/apmachine/wave.go
+++ b/pkg/apmachine/wave.go
@@ -25,7 +25,7 @@
 	for _, wave := range t.Waves {
 		actions = append(actions, maintain(t, wave)...)
 	}
-	return actions
+	return append(actions, balance(t)...)
 }
 
 // carry orders what emptied machines were emptied for, and closes disruptions whose worker has gone.
--- a/pkg/apscheduler/evacuate.go
+++ b/pkg/apscheduler/evacuate.go
@@ -67,10 +67,10 @@
 
 // Load is what the shard's pool has to do.
 type Load struct {
-	// Lasting counts the long-running tasks of each worker, Used the processor time booked there, in
-	// thousandths of a core.
+	// Lasting counts the long-running tasks of each worker.
 	Lasting map[apjob.WorkerID]int
-	Used    map[apjob.WorkerID]int64
+	// Used is the processor time booked on each worker that may get runs, in thousandths of a core.
+	Used map[apjob.WorkerID]int64
 	// Queued is the work that waits for room, in thousandths of a core times seconds.
 	Queued int64
 	// Widest is how many workers the widest long-running step needs.
@@ -78,13 +78,15 @@
 }
 
 // PoolLoad returns what the shard's pool has to do.
-func (s *Shard) PoolLoad() Load {
+func (s *Shard) PoolLoad(now time.Time) Load {
 	load := Load{Lasting: make(map[apjob.WorkerID]int), Used: make(map[apjob.WorkerID]int64)}
 	for id, w := range s.workers {
 		if !w.registered {
 			continue
 		}
-		load.Used[id] = w.used.CPU
+		if s.usable(w, now) {
+			load.Used[id] = w.used.CPU
+		}
 		for run := range w.occupants {
 			if _, step := s.task(run.Task); step != nil && step.LongRunning {
 				load.Lasting[id]++
--- a/pkg/apscheduler/job.go
+++ b/pkg/apscheduler/job.go
@@ -1,7 +1,9 @@
 package apscheduler
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"auburnport/pkg/apcode"
@@ -61,7 +63,36 @@
 	}
 	j := &job{def: def, seen: now.Add(-age)}
 	s.add(j)
-	s.log("JobAccepted", apjob.RunKey{Task: apjob.TaskID{Job: def.ID}}, "", map[string]any{"Queue": def.Queue, "Steps": len(def.Steps), "AgeMs": age.Milliseconds()})
+	s.log("JobAccepted", apjob.RunKey{Task: apjob.TaskID{Job: def.ID}}, "", map[string]any{
+		"Queue": def.Queue, "Steps": len(def.Steps), "AgeMs": age.Milliseconds(), "Kinds": stepKinds(def),
+	})
+}
+
+// stepKinds names what is special of a job's steps, for the log.
+func stepKinds(def *apjob.Job) string {
+	var kinds []string
+	for n := range def.Steps {
+		step := &def.Steps[n]
+		for _, kind := range []struct {
+			is   bool
+			name string
+		}{
+			{step.LongRunning, "LongRunning"},
+			{step.Backfill, "Backfill"},
+			{step.LatencyTarget > 0, "Serving"},
+			{step.Gang, "Gang"},
+			{step.SameRack, "SameRack"},
+			{step.Checkpoints, "Checkpoints"},
+			{step.Speculative, "Speculative"},
+			{step.MaxPerWorker > 0, fmt.Sprintf("MaxPerWorker%d", step.MaxPerWorker)},
+			{step.MaxUnavailable > 0, fmt.Sprintf("MaxUnavailable%d", step.MaxUnavailable)},
+		} {
+			if kind.is && !slices.Contains(kinds, kind.name) {
+				kinds = append(kinds, kind.name)
+			}
+		}
+	}
+	return strings.Join(kinds, ",")
 }
 
 // Load adds a job with the progress that an earlier owner stored. Call it before any worker reports.
--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -173,8 +173,7 @@
 func (s *Shard) openWorkers(now time.Time) []*worker {
 	var open []*worker
 	for _, w := range s.workers {
-		if w.registered && w.reached && !w.info.Draining && !s.cordoned[w.info.ID] && w.foreign == 0 &&
-			now.Sub(w.lastOK) <= s.options.MaxSilence && !now.Before(w.retryAt) && !w.health.quarantined(now) {
+		if s.usable(w, now) && w.foreign == 0 && !now.Before(w.retryAt) {
 			open = append(open, w)
 		}
 	}
@@ -182,6 +181,12 @@
 	return open
 }
 
+// usable reports whether a worker is sound and not on its way out.
+func (s *Shard) usable(w *worker, now time.Time) bool {
+	return w.registered && w.reached && !w.info.Draining && !s.cordoned[w.info.ID] &&
+		now.Sub(w.lastOK) <= s.options.MaxSilence && !w.health.quarantined(now)
+}
+
 // placeStep assigns the waiting tasks of a step, all of them when it is a gang.
 func (s *Shard) placeStep(c *candidate, open []*worker, now time.Time) {
 	j := c.job
@@ -322,7 +327,7 @@
 	}
 	score := full - w.health.slowness()
 	if step.LongRunning {
-		score = -full - float64(use.racks[w.info.Rack]) - float64(use.workers[w.info.ID])
+		score = s.lastingScore(step, use, w) - full
 	}
 	if step.SameRack && use.racks[w.info.Rack] > 0 {
 		score += rackWeight
@@ -333,6 +338,37 @@
 	return score
 }
 
+// Weights of the placement of long-running tasks, each above the next one's sum.
+const (
+	// crowdWeight keeps a step's tasks on at least lastingSpread workers.
+	crowdWeight = 8
+	// shareWeight brings long-running tasks together on few workers, so that the others can be moved.
+	shareWeight = 3
+	// lastingSpread is how many workers share the tasks of a long-running step.
+	lastingSpread = 3
+)
+
+// lastingScore rates a worker for a long-running task.
+func (s *Shard) lastingScore(step *apjob.Step, use *stepUse, w *worker) float64 {
+	score := -float64(use.racks[w.info.Rack])
+	if use.workers[w.info.ID] >= (step.Count+lastingSpread-1)/lastingSpread {
+		score -= crowdWeight
+	}
+	if s.hasLasting(w) {
+		score += shareWeight
+	}
+	return score
+}
+
+func (s *Shard) hasLasting(w *worker) bool {
+	for run := range w.occupants {
+		if _, step := s.task(run.Task); step != nil && step.LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
 // scheduledSlack is the time within which a scheduled occurrence is taken to be due, as its own time
 // has come already.
 const scheduledSlack = time.Minute
