--- a/pkg/apscheduler/job.go
+++ b/pkg/apscheduler/job.go
@@ -27,7 +27,6 @@
 	running int
 	// nextOccurrence is the first that has not begun.
 	nextOccurrence int
-	retired        bool
 	// triedOn lists workers on which a task failed.
 	triedOn map[apjob.TaskID][]apjob.WorkerID
 }
--- a/pkg/apscheduler/worker.go
+++ b/pkg/apscheduler/worker.go
@@ -39,7 +39,6 @@
 	percent      int
 	usage        float64
 	percentAt    time.Time
-	paced        int
 	checkpoint   string
 	ticket       string
 	// unknown tells that the run's size is not known.
@@ -228,18 +227,13 @@
 	if !ok {
 		return
 	}
-	if !report.Born.IsZero() {
-		if !w.info.Born.IsZero() && !report.Born.Equal(w.info.Born) {
-			s.reborn(w, report.Born, now)
-		}
-		w.info.Born = report.Born
-	}
+	s.checkLife(w, report.Born, now)
 	first := !w.reached
 	w.reached = true
 	w.lastOK = now
 	w.clock, w.clockAt = report.Clock, now
 	if first {
-		// An earlier owner may have extended the lease as far as the worker allows.
+		// An earlier owner may have extended the lease as far as this.
 		w.leaseEnd = report.Clock + s.options.MaxLease
 	}
 	listed := make(map[apjob.RunKey]bool, len(report.Running)+len(report.Ended))
@@ -254,12 +248,30 @@
 			s.applyRunning(w, running, sentAt, now)
 		}
 	}
+	s.dropUnlisted(w, listed, first, sentAt, now)
+}
+
+// checkLife ends what ran in an earlier life of the worker.
+func (s *Shard) checkLife(w *worker, born, now time.Time) {
+	if born.IsZero() {
+		return
+	}
+	if !w.info.Born.IsZero() && !born.Equal(w.info.Born) {
+		s.reborn(w, born, now)
+	}
+	w.info.Born = born
+}
+
+// dropUnlisted frees the runs that a report should have listed and that can't start any more: all of
+// them in the first report under a new fence, else those whose orders were answered before the
+// question went out.
+func (s *Shard) dropUnlisted(w *worker, listed map[apjob.RunKey]bool, first bool, sentAt, now time.Time) {
 	for run, o := range w.occupants {
 		if listed[run] || o.phase == phasePlanned {
 			continue
 		}
-		settled := first || !o.answeredAt.IsZero() && o.answeredAt.Before(sentAt) && (!o.silent || o.stopAnswered)
-		if settled {
+		answered := !o.answeredAt.IsZero() && o.answeredAt.Before(sentAt)
+		if first || answered && (!o.silent || o.stopAnswered) {
 			s.lost(w, run, o, "NotListed", now)
 		}
 	}
