--- a/pkg/apscheduler/options.go
+++ b/pkg/apscheduler/options.go
@@ -20,6 +20,9 @@
 	// ResendAfter is the first wait for the answer to an order; it doubles up to MaxResend.
 	ResendAfter time.Duration
 	MaxResend   time.Duration
+	// SuspectAfter is how old a worker's last answer may be for its lease to be extended. It is longer
+	// than a worker waits with its report.
+	SuspectAfter time.Duration
 	// MaxSilence is how old a worker's last answer may be for it to get new runs.
 	MaxSilence time.Duration
 	// FarFactor is how much longer a task takes away from its rack.
@@ -49,6 +52,7 @@
 		StopTime:     400 * time.Millisecond,
 		ResendAfter:  300 * time.Millisecond,
 		MaxResend:    2 * time.Second,
+		SuspectAfter: 1500 * time.Millisecond,
 		MaxSilence:   1800 * time.Millisecond,
 		FarFactor:    1.5,
 		Retention:    2 * time.Minute,
--- /dev/null
+++ b/pkg/apscheduler/silence_test.go
@@ -0,0 +1,83 @@
+package apscheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"auburnport/pkg/apcode"
+	"auburnport/pkg/apjob"
+	"auburnport/pkg/apscheduler"
+	"auburnport/pkg/apworker"
+)
+
+// A worker that falls silent is asked again and again. Its lease must not be taken to be extended by
+// questions without an answer for ever: the task runs elsewhere within 9 s, and not before the lease
+// that was granted last has ended.
+func TestTasksOfASilentWorkerRunElsewhere(t *testing.T) {
+	s := apscheduler.New(1)
+	for _, id := range []apjob.WorkerID{"w1", "w2"} {
+		s.Register(workerInfo(id, 4000), start)
+		s.Report(id, apworker.Report{Clock: time.Second}, start, start)
+	}
+	s.Submit(job(apjob.Step{Count: 1, Need: apjob.Resources{CPU: 1000}}), 0, start)
+	s.Plan(start, start)
+	storeAll(s)
+	orders := s.Orders(start)
+	assert.Equal(t, len(orders), 1)
+	first, ok := orders[0].(apscheduler.Start)
+	assert.Assert(t, ok)
+	silent, other := first.To.ID, apjob.WorkerID("w1")
+	if silent == "w1" {
+		other = "w2"
+	}
+	s.Answered(silent, first.Order.Run, false, nil, start)
+	lease := first.Order.Deadline - time.Second
+	for passed := time.Duration(0); passed < 9*time.Second; passed += 100 * time.Millisecond {
+		now := start.Add(passed)
+		s.Report(other, apworker.Report{Clock: time.Second + passed}, now, now)
+		if order, ok := s.Hold(silent, now); ok && order.Deadline > 0 {
+			lease = max(lease, order.Deadline-time.Second)
+		}
+		s.Plan(now, now)
+		storeAll(s)
+		if runs := starts(s.Orders(now)); len(runs) > 0 {
+			assert.Equal(t, runs[0].Run, 2)
+			assert.Assert(t, passed > lease, "started after %s, the lease lasts %s", passed, lease)
+			return
+		}
+	}
+	t.Fatal("not started within 9 s")
+}
+
+// A start without an answer may be carried out late: it is sent again, and its room stays booked.
+func TestStartWithoutAnswerIsSentAgain(t *testing.T) {
+	s := apscheduler.New(1)
+	s.Register(workerInfo("w1", 1000), start)
+	s.Report("w1", apworker.Report{Clock: time.Second}, start, start)
+	s.Submit(job(apjob.Step{Count: 2, Need: apjob.Resources{CPU: 1000}}), 0, start)
+	s.Plan(start, start)
+	storeAll(s)
+	run := starts(s.Orders(start))
+	assert.Equal(t, len(run), 1)
+	s.Answered("w1", run[0], false, apcode.Errorf(apcode.WorkerSilent, "no answer"), start)
+	now := start.Add(time.Second)
+	s.Report("w1", apworker.Report{Clock: 2 * time.Second}, now, now)
+	s.Plan(now, now)
+	storeAll(s)
+	assert.DeepEqual(t, starts(s.Orders(now)), run)
+	// Refused now, it may still come of the first order: only a stop frees the room.
+	s.Answered("w1", run[0], false, apcode.Errorf(apcode.TaskDoesNotFit, "room"), now)
+	s.Plan(now, now)
+	storeAll(s)
+	orders := s.Orders(now)
+	assert.Equal(t, len(starts(orders)), 0)
+	assert.DeepEqual(t, stops(orders), run)
+	s.Answered("w1", run[0], true, nil, now)
+	now = now.Add(time.Second)
+	s.Report("w1", apworker.Report{Clock: 3 * time.Second}, now, now)
+	s.Plan(now, now)
+	storeAll(s)
+	assert.DeepEqual(t, starts(s.Orders(now)), []apjob.RunKey{{Task: run[0].Task, Run: 2}})
+}
--- a/pkg/apscheduler/worker.go
+++ b/pkg/apscheduler/worker.go
@@ -165,12 +165,18 @@
 		return apworker.HoldOrder{}, false
 	}
 	order := apworker.HoldOrder{Fence: s.fence, Seen: w.stored}
-	if w.reached {
+	if w.reached && !s.suspect(w, now) {
 		order.Deadline = s.deadline(w, now)
 	}
 	return order, true
 }
 
+// suspect reports whether a worker is silent for so long that it may be down. Its lease is not extended
+// then, for the time at which its runs have ended must come.
+func (s *Shard) suspect(w *worker, now time.Time) bool {
+	return now.Sub(w.lastOK) > s.options.SuspectAfter
+}
+
 // Busy reports whether a worker has runs, so that its lease matters.
 func (s *Shard) Busy(id apjob.WorkerID) bool {
 	w, ok := s.workers[id]
