Shards go to strong entries first

Cause: on the grown site an entry with 0.192 of a core and 10 Mbit/s owned the pool of 62 workers; its link was full and leases lapsed.

--- a/internal/apmember/apmember.go
+++ b/internal/apmember/apmember.go
@@ -31,6 +31,8 @@
 	Step time.Duration
 	// Tick is how often free shards are looked for.
 	Tick time.Duration
+	// Weight is this entry's processor share in thousandths of a core.
+	Weight int
 }
 
 // DefaultOptions returns the usual options.
@@ -61,8 +63,9 @@
 	own     Own
 	log     Log
 
-	mu      sync.Mutex
-	entries map[apfleet.EntryName]bool
+	mu sync.Mutex
+	// entries holds the weights of those that are up.
+	entries map[apfleet.EntryName]int
 	owners  map[apjournal.Shard]apfleet.EntryName
 	// freeSince is when a shard was first seen without an owner.
 	freeSince map[apjournal.Shard]time.Time
@@ -76,7 +79,7 @@
 func New(ledger apstore.Ledger, name apfleet.EntryName, shards func() []apjournal.Shard, own Own, log Log, options Options) *Member {
 	return &Member{
 		ledger: ledger, name: name, options: options, shards: shards, own: own, log: log,
-		entries: make(map[apfleet.EntryName]bool), owners: make(map[apjournal.Shard]apfleet.EntryName),
+		entries: make(map[apfleet.EntryName]int), owners: make(map[apjournal.Shard]apfleet.EntryName),
 		freeSince: make(map[apjournal.Shard]time.Time), running: make(map[apjournal.Shard]context.CancelFunc),
 	}
 }
@@ -145,7 +148,7 @@
 		return err
 	}
 	_, err = m.ledger.Commit(ctx, apstore.Transaction{
-		Puts: []apstore.Put{{Key: apjournal.EntryKey(m.name), Data: apfleet.Encode(apjournal.Owner{Holder: m.name}), Lease: lease}},
+		Puts: []apstore.Put{{Key: apjournal.EntryKey(m.name), Data: apfleet.Encode(apjournal.Entry{Weight: m.options.Weight}), Lease: lease}},
 	})
 	if err != nil {
 		return err
@@ -190,7 +193,7 @@
 	}
 	for _, event := range update.Events {
 		if name, ok := apjournal.EntryOf(event.Value.Key); ok {
-			m.entries[name] = !event.Removed
+			m.applyEntry(name, event)
 		}
 		shard, ok := apjournal.ShardOf(event.Value.Key)
 		if !ok {
@@ -205,6 +208,15 @@
 	}
 }
 
+func (m *Member) applyEntry(name apfleet.EntryName, event apstore.Event) {
+	var entry apjournal.Entry
+	if event.Removed || apfleet.Decode(event.Value.Data, &entry) != nil {
+		delete(m.entries, name)
+		return
+	}
+	m.entries[name] = max(1, entry.Weight)
+}
+
 // claim takes free shards when it is this entry's turn.
 func (m *Member) claim(ctx context.Context, owned *errgroup.Group) error {
 	ticker := time.NewTicker(m.options.Tick)
@@ -255,19 +267,22 @@
 	return due
 }
 
-// Rank returns the place of an entry among those that may own a shard: entries that own less come
-// first, then the order of a rendezvous hash.
-func Rank(name apfleet.EntryName, shard apjournal.Shard, entries map[apfleet.EntryName]bool, owners map[apjournal.Shard]apfleet.EntryName) int {
+// Rank returns the place of an entry among those that may own a shard, given the weights of all that are
+// up: those that would own the least for their weight come first, then the order of a rendezvous hash.
+func Rank(name apfleet.EntryName, shard apjournal.Shard, weights map[apfleet.EntryName]int, owners map[apjournal.Shard]apfleet.EntryName) int {
 	load := make(map[apfleet.EntryName]int)
 	for _, holder := range owners {
 		load[holder]++
 	}
 	before := func(a, b apfleet.EntryName) int {
-		return cmp.Or(cmp.Compare(load[a], load[b]), cmp.Compare(hash(a, shard), hash(b, shard)), cmp.Compare(a, b))
+		return cmp.Or(
+			cmp.Compare((load[a]+1)*max(1, weights[b]), (load[b]+1)*max(1, weights[a])),
+			cmp.Compare(hash(a, shard), hash(b, shard)), cmp.Compare(a, b),
+		)
 	}
 	rank := 0
-	for other, up := range entries {
-		if up && other != name && before(other, name) < 0 {
+	for other := range weights {
+		if other != name && before(other, name) < 0 {
 			rank++
 		}
 	}
--- a/internal/apnode/apnode.go
+++ b/internal/apnode/apnode.go
@@ -58,6 +58,9 @@
 // workers, each asked in less than a second, has seen the successor's fence.
 const fencingTime = 1200 * time.Millisecond
 
+// thousandths of a core are the unit of an entry's weight.
+const thousandths = 1000
+
 // Node is one entry.
 type Node struct {
 	settings apadapter.Settings
@@ -84,6 +87,7 @@
 	n.callers = apadapter.NewCallers(n.intake, time.Now)
 	membership := apmember.DefaultOptions()
 	membership.TTL = max(membership.TTL, settings.MinTTL)
+	membership.Weight = int(settings.CPUShare * thousandths)
 	n.member = apmember.New(n.store, settings.Node, n.shards, n.own, n.logEvent, membership)
 	return n
 }
--- a/pkg/apjournal/apjournal.go
+++ b/pkg/apjournal/apjournal.go
@@ -115,6 +115,20 @@
 	return nil
 }
 
+// Entry is the value of an entry's key.
+type Entry struct {
+	// Weight is the entry's processor share in thousandths of a core; 0 counts as 1.
+	Weight int `cbor:"Weight"`
+}
+
+// Check returns BadMessage for a negative weight.
+func (e Entry) Check() error {
+	if e.Weight < 0 {
+		return apcode.Errorf(apcode.BadMessage, "entry of weight %d", e.Weight)
+	}
+	return nil
+}
+
 // Owner is the value of an owner's key.
 type Owner struct {
 	Holder apfleet.EntryName `cbor:"Holder"`
