Placement: long-running tasks find their place; machines are divided without a rest

Moves on 350 machines were bound to 16 at once. Change: such tasks avoid a worker only as long as another fits; the roomiest worker is reserved for one that waits; a third of the machines may move at once; records carry their own runs and ends, so that a batch no longer walks all workers. Tests: TestLongRunningTaskStartsAgainWhereItFailed failed first; TestLongRunningTaskFindsRoomUnderABurst, TestShortMachinesAreSharedByNeed (failed first on the rest).

--- a/internal/apcontroller/apcontroller.go
+++ b/internal/apcontroller/apcontroller.go
@@ -68,9 +68,9 @@
 	// retryGap is the pause before an order is sent again.
 	retryGap = 500 * time.Millisecond
 	// maxOrders bounds the orders under way.
-	maxOrders = 8
+	maxOrders = 24
 	// maxChanges bounds the changes of one write.
-	maxChanges = 20
+	maxChanges = 24
 )
 
 // Controller runs the shard of machines. Use New.
--- /dev/null
+++ b/pkg/apmachine/apmachine_test.go
@@ -0,0 +1,186 @@
+package apmachine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"auburnport/pkg/apfleet"
+	"auburnport/pkg/apjob"
+	"auburnport/pkg/apmachine"
+	"auburnport/pkg/apstore"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// world returns pools of equal machines, a spare pool, and a controller that has settled.
+func world(pools map[apfleet.ServiceName]int, spare int) *apmachine.Tables {
+	t := &apmachine.Tables{
+		Now: start, Started: start.Add(-time.Minute), Spare: "spare",
+		Since: map[int]time.Time{}, Finished: map[int]apmachine.Finished{},
+		Disruptions: map[apmachine.Name]apmachine.Disruption{}, Pools: map[apfleet.ServiceName]apmachine.Pool{},
+		UpSince: map[apmachine.Name]time.Time{},
+	}
+	add := func(pool apfleet.ServiceName, n int) {
+		for i := range n {
+			m := apmachine.Machine{
+				Name: apmachine.Name(fmt.Sprintf("m-%s-%02d", pool, i)), Pool: pool, State: apmachine.StateUp,
+				Capacity: apjob.Resources{CPU: 32_000},
+			}
+			if pool != "spare" {
+				m.Worker = apjob.WorkerID("i-" + m.Name)
+				t.Pools[pool].Used[m.Worker] = 0
+			}
+			t.Machines = append(t.Machines, m)
+		}
+	}
+	for _, name := range []apfleet.ServiceName{"a", "b", "c"} {
+		if n, ok := pools[name]; ok {
+			t.Pools[name] = apmachine.Pool{Used: map[apjob.WorkerID]int64{}, Lasting: map[apjob.WorkerID]int{}, Empty: map[apjob.WorkerID]apstore.Revision{}}
+			add(name, n)
+		}
+	}
+	add("spare", spare)
+	return t
+}
+
+func moves(actions []apmachine.Action) (carried, opened map[apfleet.ServiceName]int) {
+	carried, opened = map[apfleet.ServiceName]int{}, map[apfleet.ServiceName]int{}
+	for _, action := range actions {
+		switch action := action.(type) {
+		case apmachine.Carry:
+			carried[action.Disruption.Target]++
+		case apmachine.Open:
+			opened[action.Disruption.Target]++
+		}
+	}
+	return carried, opened
+}
+
+// arrive carries a move out at once.
+func arrive(tables *apmachine.Tables, d apmachine.Disruption) {
+	for i := range tables.Machines {
+		m := &tables.Machines[i]
+		if m.Name != d.Machine {
+			continue
+		}
+		delete(tables.Pools[m.Pool].Used, m.Worker)
+		m.Pool = d.Target
+		if d.Target != tables.Spare {
+			tables.Pools[d.Target].Used[m.Worker] = 0
+		}
+	}
+}
+
+func TestPoolGrowsFromTheSparePool(t *testing.T) {
+	tables := world(map[apfleet.ServiceName]int{"a": 3, "b": 3}, 10)
+	pool := tables.Pools["a"]
+	pool.Queued = 128_000
+	tables.Pools["a"] = pool
+	carried, opened := moves(apmachine.Plan(tables))
+	assert.Equal(t, carried["a"], 5, "128 core-seconds within half a second take 8 machines")
+	assert.Equal(t, carried["b"], 0)
+	assert.Equal(t, len(opened), 0)
+}
+
+func TestShortMachinesAreSharedByNeed(t *testing.T) {
+	tables := world(map[apfleet.ServiceName]int{"a": 20, "b": 3, "c": 3}, 0)
+	for name, queued := range map[apfleet.ServiceName]int64{"a": 200_000, "b": 600_000} {
+		pool := tables.Pools[name]
+		pool.Queued = queued
+		tables.Pools[name] = pool
+	}
+	for range 4 {
+		for _, action := range apmachine.Plan(tables) {
+			if open, ok := action.(apmachine.Open); ok {
+				arrive(tables, open.Disruption)
+			}
+		}
+	}
+	count := map[apfleet.ServiceName]int{}
+	for _, m := range tables.Machines {
+		count[m.Pool]++
+	}
+	assert.Assert(t, count["b"] > count["a"], "%v", count)
+	assert.Assert(t, count["a"] >= 3 && count["c"] == 3, "%v", count)
+	assert.Equal(t, count["spare"], 0, "nothing is parked while machines are short")
+}
+
+func TestIdleMachinesAreParked(t *testing.T) {
+	tables := world(map[apfleet.ServiceName]int{"a": 9}, 2)
+	pool := tables.Pools["a"]
+	pool.Lasting["i-m-a-00"] = 2
+	tables.Pools["a"] = pool
+	_, opened := moves(apmachine.Plan(tables))
+	assert.Equal(t, opened["spare"], 3, "a third of the machines at once")
+	for _, action := range apmachine.Plan(tables) {
+		if open, ok := action.(apmachine.Open); ok {
+			assert.Assert(t, open.Disruption.Machine != "m-a-00", "it has long-running tasks")
+		}
+	}
+}
+
+func TestNewControllerOnlyLooks(t *testing.T) {
+	tables := world(map[apfleet.ServiceName]int{"a": 9}, 2)
+	tables.Started = start.Add(-time.Second)
+	assert.Equal(t, len(apmachine.Plan(tables)), 0)
+}
+
+// A wave keeps MaxCount whatever is under way, also while it is late, and is completed only when every
+// machine that stays is back.
+func TestWaveKeepsItsCount(t *testing.T) {
+	tables := world(map[apfleet.ServiceName]int{"a": 12, "b": 12}, 0)
+	tables.Started = tables.Now
+	wave := apmachine.Wave{Number: 1, MaxCount: 4, Duration: 20 * time.Second}
+	for _, m := range tables.Machines {
+		wave.Machines = append(wave.Machines, m.Name)
+	}
+	tables.Waves = []apmachine.Wave{wave}
+	tables.Since[1] = start
+	back := make(map[apmachine.Name]time.Time)
+	completed := false
+	for step := 0; step < 2000 && !completed; step++ {
+		tables.Now = tables.Now.Add(100 * time.Millisecond)
+		tables.Started = tables.Now
+		down := 0
+		for i := range tables.Machines {
+			m := &tables.Machines[i]
+			if at, away := back[m.Name]; away && tables.Now.After(at) {
+				m.State, m.Worker = apmachine.StateUp, apjob.WorkerID(fmt.Sprintf("%s-%d", m.Name, step))
+				delete(back, m.Name)
+			}
+			if m.State != apmachine.StateUp {
+				down++
+			}
+		}
+		assert.Assert(t, down <= wave.MaxCount)
+		for _, action := range apmachine.Plan(tables) {
+			switch action := action.(type) {
+			case apmachine.Open:
+				d := action.Disruption
+				d.Revision = 1
+				tables.Disruptions[d.Machine] = d
+				tables.Pools[d.Pool].Empty[d.Worker] = 1
+			case apmachine.Carry:
+				d := action.Disruption
+				for i := range tables.Machines {
+					if tables.Machines[i].Name == d.Machine {
+						tables.Machines[i].State = apmachine.StateUpkeep
+					}
+				}
+				finished := tables.Finished[1]
+				finished.Machines = append(finished.Machines, d.Machine)
+				tables.Finished[1] = finished
+				delete(tables.Disruptions, d.Machine)
+				back[d.Machine] = tables.Now.Add(2 * time.Second)
+			case apmachine.Complete:
+				completed = true
+			}
+		}
+	}
+	assert.Assert(t, completed)
+	assert.Equal(t, len(tables.Finished[1].Machines), len(wave.Machines))
+	assert.Equal(t, len(back), 0)
+}
--- a/pkg/apmachine/balance.go
+++ b/pkg/apmachine/balance.go
@@ -26,8 +26,8 @@
 	arrival = 3 * time.Second
 	// settle is how long a new controller only looks: machines and pools report within it.
 	settle = 2500 * time.Millisecond
-	// maxEmptying bounds the machines that are being emptied at once.
-	maxEmptying = 16
+	// emptyingShare is the part of all machines, as a divisor, that may be emptied at once.
+	emptyingShare = 3
 	// idleShare is the part of a machine, as a divisor, that may still be used when it is shed without
 	// need.
 	idleShare = 3
@@ -70,7 +70,7 @@
 	}
 	for _, pool := range pools {
 		if surplus := size[pool] - t.Wants[pool].Machines; surplus > 0 {
-			moves := t.shed(pool, min(surplus, maxEmptying-len(t.Disruptions)), short, &lacking)
+			moves := t.shed(pool, min(surplus, len(t.Machines)/emptyingShare-len(t.Disruptions)), short, &lacking)
 			actions = append(actions, moves...)
 		}
 	}
@@ -92,12 +92,11 @@
 		all += size[pool]
 	}
 	short := sum > all
+	if short {
+		divide(needs, pools, all, extra)
+	}
 	for _, pool := range pools {
-		want := needs[pool]
-		if short {
-			want = floor + (needs[pool]-floor)*max(0, all-floor*len(pools))/max(1, extra)
-		}
-		last := t.Wants[pool]
+		want, last := needs[pool], t.Wants[pool]
 		if short || want >= last.Machines || t.Now.Sub(last.At) >= calm {
 			t.Wants[pool] = Want{Machines: want, At: t.Now}
 		}
@@ -105,6 +104,25 @@
 	return short
 }
 
+// divide cuts the needs down to what there is: each pool keeps its floor and gets a part of the rest by
+// its need; what rounding leaves goes to the pool that needs most.
+func divide(needs map[apfleet.ServiceName]int, pools []apfleet.ServiceName, all, extra int) {
+	rest := max(0, all-floor*len(pools))
+	left := rest
+	most := pools[0]
+	for _, pool := range pools {
+		if needs[pool] > needs[most] {
+			most = pool
+		}
+	}
+	for _, pool := range pools {
+		part := (needs[pool] - floor) * rest / max(1, extra)
+		needs[pool] = floor + part
+		left -= part
+	}
+	needs[most] += left
+}
+
 // need returns how many machines a pool's work asks for.
 func (t *Tables) need(pool apfleet.ServiceName) int {
 	p := t.Pools[pool]
--- a/pkg/apscheduler/apscheduler.go
+++ b/pkg/apscheduler/apscheduler.go
@@ -72,7 +72,6 @@
 type pendingEnd struct {
 	worker apjob.WorkerID
 	number uint64
-	job    apjob.ID
 }
 
 // Shard is the state of one shard. It is used from one goroutine.
--- a/pkg/apscheduler/job.go
+++ b/pkg/apscheduler/job.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"auburnport/pkg/apcode"
 	"auburnport/pkg/apjob"
 	"auburnport/pkg/apworker"
 )
@@ -27,6 +26,10 @@
 	running int
 	// nextOccurrence is the first that has not begun.
 	nextOccurrence int
+	// planned and ends are what the next record of the job makes known: runs that may be ordered
+	// then, and ends that workers may forget.
+	planned []planned
+	ends    []pendingEnd
 	// triedOn lists workers on which a task failed.
 	triedOn map[apjob.TaskID][]apjob.WorkerID
 }
@@ -324,7 +327,8 @@
 // BatchDue reports whether records wait to be stored.
 func (s *Shard) BatchDue() bool { return len(s.dirty) > 0 }
 
-// NextBatch returns the oldest records that wait to be stored. Return it to Stored or Unstored.
+// NextBatch returns the oldest records that wait to be stored. Pass it to Stored when it
+// is in the store; no other batch may be stored before.
 func (s *Shard) NextBatch() Batch {
 	var batch Batch
 	n, entries := 0, 0
@@ -337,18 +341,10 @@
 		n++
 		j.dirty = false
 		batch.Records = append(batch.Records, record)
-		for _, w := range s.workers {
-			for _, end := range w.pending {
-				if end.job == id {
-					batch.ends = append(batch.ends, end)
-				}
-			}
-			for run, o := range w.occupants {
-				if run.Task.Job == id && o.phase == phasePlanned {
-					batch.planned = append(batch.planned, planned{run: run, worker: w.info.ID})
-				}
-			}
-		}
+		batch.planned = append(batch.planned, j.planned...)
+		j.planned = nil
+		batch.ends = append(batch.ends, j.ends...)
+		j.ends = nil
 	}
 	s.dirty = s.dirty[n:]
 	return batch
@@ -402,18 +398,6 @@
 	}
 }
 
-// Unstored puts a batch back whose storing is known to have had no effect.
-func (s *Shard) Unstored(batch Batch) {
-	for _, record := range batch.Records {
-		if j := s.jobs[record.Job]; j != nil {
-			s.markDirty(j)
-		}
-	}
-}
-
-// Fatal reports whether an answer means that another owner has taken over.
-func Fatal(err error) bool { return apcode.Is(err, apcode.StaleFence) }
-
 // Forget drops a job that is final and whose end need not be shown any longer.
 func (s *Shard) Forget(id apjob.ID) {
 	if j := s.jobs[id]; j != nil && j.state().Final() && j.running == 0 {
--- /dev/null
+++ b/pkg/apscheduler/place_test.go
@@ -0,0 +1,184 @@
+package apscheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"auburnport/pkg/apjob"
+	"auburnport/pkg/apscheduler"
+	"auburnport/pkg/apworker"
+)
+
+// A pool under a burst of small tasks frees room bit by bit. A long-running task that needs more than
+// one of them must still get its room within 3 s.
+func TestLongRunningTaskFindsRoomUnderABurst(t *testing.T) {
+	s := apscheduler.New(1)
+	s.Register(workerInfo("w1", 4000), start)
+	s.Report("w1", apworker.Report{Clock: time.Second}, start, start)
+	for n := range 40 {
+		id := apjob.ID(fmt.Sprintf("%016x", n))
+		s.Submit(&apjob.Job{ID: id, Queue: "q", Steps: []apjob.Step{{Count: 1, Need: apjob.Resources{CPU: 1000}, Estimate: time.Second}}, Submitted: start}, 0, start)
+	}
+	running := make(map[apjob.RunKey]time.Time)
+	number := uint64(0)
+	for passed := time.Duration(0); passed < 3*time.Second; passed += 250 * time.Millisecond {
+		now := start.Add(passed)
+		report := apworker.Report{Clock: time.Second + passed}
+		for run, began := range running {
+			if now.Sub(began) >= time.Second {
+				number++
+				report.Ended = append(report.Ended, apworker.Ended{Number: number, Run: run, How: apworker.EndDone})
+				delete(running, run)
+			} else {
+				report.Running = append(report.Running, apworker.Running{Run: run, Percent: 50})
+			}
+		}
+		s.Report("w1", report, now, now)
+		if passed == 500*time.Millisecond {
+			s.Submit(job(apjob.Step{Count: 1, Need: apjob.Resources{CPU: 3000}, LongRunning: true}), 0, now)
+		}
+		s.Plan(now, now)
+		storeAll(s)
+		for _, run := range starts(s.Orders(now)) {
+			if run.Task.Job == jobID {
+				return
+			}
+			running[run] = now
+			s.Answered("w1", run, false, nil, now)
+			// Ends are spread, so that never more than one task's room is free.
+			running[run] = now.Add(time.Duration(len(running)) * 200 * time.Millisecond)
+		}
+	}
+	t.Fatal("the long-running task did not start")
+}
+
+// A worker that fails all that it starts gets no more runs for a while, and a task that failed there
+// goes elsewhere, so that a job isn't lost by one bad worker.
+func TestFailingWorkerIsQuarantined(t *testing.T) {
+	s := apscheduler.New(1)
+	s.SetQueues(map[apjob.Queue]apscheduler.Queue{"q": {MaxAttempts: 3}})
+	for _, id := range []apjob.WorkerID{"bad", "good"} {
+		s.Register(workerInfo(id, 4000), start)
+		s.Report(id, apworker.Report{Clock: time.Second}, start, start)
+	}
+	for n := range 8 {
+		id := apjob.ID(fmt.Sprintf("%016x", n))
+		s.Submit(&apjob.Job{ID: id, Queue: "q", Steps: []apjob.Step{{Count: 1, Need: apjob.Resources{CPU: 1000}}}, Submitted: start}, 0, start)
+	}
+	number := uint64(0)
+	last := 0
+	for round := range 20 {
+		now := start.Add(time.Duration(round) * 100 * time.Millisecond)
+		s.Plan(now, now)
+		storeAll(s)
+		reports := map[apjob.WorkerID]*apworker.Report{"bad": {Clock: time.Second}, "good": {Clock: time.Second}}
+		for _, order := range s.Orders(now) {
+			o, ok := order.(apscheduler.Start)
+			assert.Assert(t, ok)
+			s.Answered(o.To.ID, o.Order.Run, false, nil, now)
+			number++
+			how := apworker.EndDone
+			if o.To.ID == "bad" {
+				how, last = apworker.EndFailed, round
+			}
+			reports[o.To.ID].Ended = append(reports[o.To.ID].Ended, apworker.Ended{Number: number, Run: o.Order.Run, How: how})
+		}
+		later := now.Add(50 * time.Millisecond)
+		for id, report := range reports {
+			s.Report(id, *report, later, later)
+		}
+	}
+	assert.Equal(t, s.Backlog(), 0)
+	assert.Assert(t, last < 5, "the bad worker got a run in round %d", last)
+	for _, event := range s.TakeEvents() {
+		assert.Assert(t, event.What != "JobFailed", "%s failed by the worker's fault", event.Run.Task.Job)
+	}
+}
+
+// Two tasks are never on one worker beyond its capacity, whatever is waiting.
+func TestCapacityIsKept(t *testing.T) {
+	s := apscheduler.New(1)
+	s.Register(workerInfo("w1", 3500), start)
+	s.Report("w1", apworker.Report{Clock: time.Second}, start, start)
+	s.Submit(job(apjob.Step{Count: 10, Need: apjob.Resources{CPU: 1000, Memory: 30_000}}), 0, start)
+	s.Plan(start, start)
+	storeAll(s)
+	assert.Equal(t, len(starts(s.Orders(start))), 2, "memory allows two of them")
+}
+
+// A step after another starts only when all tasks before it are done; a job ends when all are.
+func TestStepsRunInOrder(t *testing.T) {
+	s := apscheduler.New(1)
+	s.Register(workerInfo("w1", 9000), start)
+	s.Report("w1", apworker.Report{Clock: time.Second}, start, start)
+	s.Submit(job(apjob.Step{Count: 2, Need: apjob.Resources{CPU: 1}}, apjob.Step{Count: 1, After: []int{0}, Need: apjob.Resources{CPU: 1}}), 0, start)
+	now := start
+	number := uint64(0)
+	for _, want := range [][]apjob.TaskID{{taskID(0, 0), taskID(0, 1)}, {taskID(1, 0)}} {
+		s.Plan(now, now)
+		storeAll(s)
+		runs := starts(s.Orders(now))
+		assert.Equal(t, len(runs), len(want))
+		for i, run := range runs {
+			s.Answered("w1", run, false, nil, now)
+			now = now.Add(100 * time.Millisecond)
+			number++
+			s.Report("w1", apworker.Report{Clock: time.Second, Ended: []apworker.Ended{{Number: number, Run: run, How: apworker.EndDone}}, Running: nil}, start, now)
+			s.Plan(now, now)
+			if i < len(runs)-1 {
+				assert.Equal(t, len(starts(s.Orders(now))), 0)
+			}
+		}
+	}
+	record := storeAll(s)[jobID]
+	assert.Equal(t, record.Progress.State, apjob.Completed)
+	assert.Assert(t, record.Retired)
+}
+
+// An end is acknowledged only when it is stored.
+func TestEndsAreAcknowledgedWhenStored(t *testing.T) {
+	s := apscheduler.New(1)
+	s.Register(workerInfo("w1", 9000), start)
+	s.Report("w1", apworker.Report{Clock: time.Second}, start, start)
+	s.Submit(job(apjob.Step{Count: 1}), 0, start)
+	s.Plan(start, start)
+	storeAll(s)
+	run := starts(s.Orders(start))[0]
+	s.Answered("w1", run, false, nil, start)
+	now := start.Add(time.Second)
+	s.Report("w1", apworker.Report{Clock: 2 * time.Second, Ended: []apworker.Ended{{Number: 7, Run: run, How: apworker.EndDone}}}, now, now)
+	order, _ := s.Hold("w1", now)
+	assert.Equal(t, order.Seen, uint64(6))
+	storeAll(s)
+	order, _ = s.Hold("w1", now)
+	assert.Equal(t, order.Seen, uint64(7))
+}
+
+// A long-running task that fails on the only worker that has a place for it starts there again.
+func TestLongRunningTaskStartsAgainWhereItFailed(t *testing.T) {
+	s := apscheduler.New(1)
+	for _, id := range []apjob.WorkerID{"w1", "w2"} {
+		s.Register(workerInfo(id, 4000), start)
+		s.Report(id, apworker.Report{Clock: time.Second}, start, start)
+	}
+	s.Submit(job(apjob.Step{Count: 2, Need: apjob.Resources{CPU: 1000}, LongRunning: true, MaxPerWorker: 1}), 0, start)
+	s.Plan(start, start)
+	storeAll(s)
+	var failed apjob.RunKey
+	for _, order := range s.Orders(start) {
+		o, ok := order.(apscheduler.Start)
+		assert.Assert(t, ok)
+		s.Answered(o.To.ID, o.Order.Run, false, nil, start)
+		if o.To.ID == "w1" {
+			failed = o.Order.Run
+		}
+	}
+	now := start.Add(time.Second)
+	s.Report("w1", apworker.Report{Clock: 2 * time.Second, Ended: []apworker.Ended{{Number: 1, Run: failed, How: apworker.EndFailed}}}, now, now)
+	s.Plan(now, now)
+	storeAll(s)
+	assert.DeepEqual(t, starts(s.Orders(now)), []apjob.RunKey{{Task: failed.Task, Run: 2}})
+}
--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -77,10 +77,31 @@
 		if len(open) == 0 {
 			return
 		}
-		s.placeStep(&candidates[i], open, now)
+		c := &candidates[i]
+		if complete := s.placeStep(c, open, now); !complete && c.urgency == urgencyLasting {
+			open = reserve(open, &c.job.def.Steps[c.step])
+		}
 	}
 }
 
+// reserve takes the worker with the most room out of those that are open, so that a long-running task
+// finds room there soon, which smaller tasks would take bit by bit.
+func reserve(open []*worker, step *apjob.Step) []*worker {
+	best := -1
+	for i, w := range open {
+		if !w.info.Capacity.Fits(step.Booked()) || step.Label != "" && !slices.Contains(w.info.Labels, step.Label) {
+			continue
+		}
+		if best < 0 || w.info.Capacity.CPU-w.used.CPU > open[best].info.Capacity.CPU-open[best].used.CPU {
+			best = i
+		}
+	}
+	if best < 0 {
+		return open
+	}
+	return slices.Concat(open[:best], open[best+1:])
+}
+
 // beginDue begins the occurrences whose time has come.
 func (s *Shard) beginDue(wall time.Time) {
 	for _, j := range s.active {
@@ -187,10 +208,14 @@
 		now.Sub(w.lastOK) <= s.options.MaxSilence && !w.health.quarantined(now)
 }
 
-// placeStep assigns the waiting tasks of a step, all of them when it is a gang.
-func (s *Shard) placeStep(c *candidate, open []*worker, now time.Time) {
+// placeStep assigns the waiting tasks of a step, all of them when it is a gang, and reports whether none
+// is left waiting.
+func (s *Shard) placeStep(c *candidate, open []*worker, now time.Time) bool {
 	j := c.job
 	step := &j.def.Steps[c.step]
+	if !anyFits(open, step.Booked()) {
+		return false
+	}
 	tasks := j.occurrence(c.occurrence).Steps[c.step]
 	use := s.stepUse(j, c.occurrence, c.step, tasks)
 	type choice struct {
@@ -198,11 +223,11 @@
 		on    *worker
 	}
 	var chosen []choice
-	complete := true
+	complete, alone := true, true
 	for k := range tasks {
 		t := &tasks[k]
 		if t.Done || t.Worker != "" {
-			complete = complete && !step.Gang
+			alone = alone && !step.Gang
 			continue
 		}
 		id := apjob.TaskID{Job: j.def.ID, Occurrence: c.occurrence, Step: c.step, Index: k}
@@ -221,8 +246,8 @@
 	for _, pick := range chosen {
 		pick.on.used = pick.on.used.Sub(step.Booked())
 	}
-	if step.Gang && !complete {
-		return
+	if step.Gang && !(complete && alone) {
+		return false
 	}
 	run := 0
 	checkpoint := ""
@@ -237,6 +262,11 @@
 		}
 		s.assign(j, apjob.TaskID{Job: j.def.ID, Occurrence: c.occurrence, Step: c.step, Index: pick.index}, t, step, pick.on, now)
 	}
+	return complete
+}
+
+func anyFits(open []*worker, need apjob.Resources) bool {
+	return slices.ContainsFunc(open, func(w *worker) bool { return w.info.Capacity.Sub(w.used).Fits(need) })
 }
 
 func (s *Shard) assign(j *job, id apjob.TaskID, t *apjob.Task, step *apjob.Step, on *worker, now time.Time) {
@@ -249,6 +279,7 @@
 	if j.progress.State == apjob.Pending {
 		j.progress.State = apjob.Running
 	}
+	j.planned = append(j.planned, planned{run: run, worker: on.info.ID})
 	s.markDirty(j)
 	s.log("TaskPlaced", run, on.info.ID, map[string]any{
 		"WaitedMs": now.Sub(j.seen).Milliseconds(), "ReportAgeMs": now.Sub(on.lastOK).Milliseconds(),
@@ -309,10 +340,14 @@
 		if step.MaxPerWorker > 0 && use.workers[w.info.ID] >= step.MaxPerWorker {
 			continue
 		}
-		if slices.Contains(avoid, w.info.ID) && len(open) > len(avoid) {
-			continue
-		}
 		score := s.score(step, use, w)
+		if slices.Contains(avoid, w.info.ID) {
+			// A long-running task fails by itself now and then, and may have no other place.
+			if !step.LongRunning && len(open) > len(avoid) {
+				continue
+			}
+			score -= avoidWeight
+		}
 		if best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
@@ -373,6 +408,9 @@
 // has come already.
 const scheduledSlack = time.Minute
 
+// avoidWeight puts a worker on which the task failed after all others.
+const avoidWeight = 100
+
 // rackWeight puts a wanted rack before any difference in load.
 const rackWeight = 10
 
--- a/pkg/apscheduler/worker.go
+++ b/pkg/apscheduler/worker.go
@@ -294,7 +294,10 @@
 	w.release(ended.Run)
 	s.log("RunEnded", ended.Run, w.info.ID, map[string]any{"How": ended.How.String(), "Number": ended.Number})
 	if s.taskEnded(ended.Run, w.info.ID, ended.How, ended.Checkpoint, now) {
-		w.pending = append(w.pending, pendingEnd{worker: w.info.ID, number: ended.Number, job: ended.Run.Task.Job})
+		end := pendingEnd{worker: w.info.ID, number: ended.Number}
+		w.pending = append(w.pending, end)
+		j := s.jobs[ended.Run.Task.Job]
+		j.ends = append(j.ends, end)
 	}
 	s.advance(w)
 }
