Controller: large changes are stored in several transactions

Cause: on 350 machines up to 65 emptied machines were ordered at once; the store refused the record of it (over 32 entries), the controller ended and began again every 3 s, and the wave came late.

--- a/internal/apcontroller/apcontroller.go
+++ b/internal/apcontroller/apcontroller.go
@@ -69,7 +69,9 @@
 	retryGap = 500 * time.Millisecond
 	// maxOrders bounds the orders under way.
 	maxOrders = 24
-	// maxChanges bounds the changes of one write.
+	// maxStepOrders bounds the orders of one step, so that decisions are taken on fresh tables.
+	maxStepOrders = 48
+	// maxChanges bounds the changes of one transaction.
 	maxChanges = 24
 )
 
@@ -334,6 +336,7 @@
 	var opened []apmachine.Disruption
 	var orders []apmachine.Disruption
 	for _, action := range actions {
+		// One transaction opens disruptions, for each carries its revision.
 		if len(write.Puts)+len(write.Removals) >= maxChanges {
 			break
 		}
@@ -348,7 +351,7 @@
 			write.Removals = append(write.Removals, disruptionKey(action.Machine))
 			delete(c.tables.Disruptions, action.Machine)
 		case apmachine.Carry:
-			if now.After(c.retryAt[action.Disruption.Machine]) && c.mayOrder(now) {
+			if len(orders) < maxStepOrders && now.After(c.retryAt[action.Disruption.Machine]) && c.mayOrder(now) {
 				orders = append(orders, action.Disruption)
 			}
 		case apmachine.Complete:
@@ -459,8 +462,19 @@
 	return apjournal.Write{Puts: []apstore.Put{{Key: key, Data: data}}}
 }
 
+// write stores a change, in several transactions when it is large.
 func (c *Controller) write(ctx context.Context, write apjournal.Write) error {
-	return c.config.Journal.Store(ctx, write, func(err error) {
-		c.config.Log("StoreFailed", map[string]any{"Shard": apjournal.Machines, "Error": err})
-	})
+	for len(write.Puts)+len(write.Removals) > 0 {
+		puts := min(maxChanges, len(write.Puts))
+		removals := min(maxChanges-puts, len(write.Removals))
+		part := apjournal.Write{Puts: write.Puts[:puts], Removals: write.Removals[:removals]}
+		write.Puts, write.Removals = write.Puts[puts:], write.Removals[removals:]
+		err := c.config.Journal.Store(ctx, part, func(err error) {
+			c.config.Log("StoreFailed", map[string]any{"Shard": apjournal.Machines, "Error": err})
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
 }
