Controller: a successor goes on within a second

Change: only the first holder waits for machines to start; a successor holds back from machines that the last one may just have ordered, not from all.

--- a/internal/apcontroller/apcontroller.go
+++ b/internal/apcontroller/apcontroller.go
@@ -82,6 +82,10 @@
 	tables  apmachine.Tables
 	started time.Time
 	listed  time.Time
+	// firstListed is when the machines were first listed; inherited holds those that an earlier
+	// holder had begun to empty.
+	firstListed time.Time
+	inherited   map[apmachine.Name]bool
 	// carried holds the machines whose order succeeded, until they are back.
 	carried map[apmachine.Name]carried
 	// retryAt holds back orders that failed.
@@ -104,7 +108,8 @@
 func New(config Config) *Controller {
 	return &Controller{
 		config: config, events: make(chan func(), 64),
-		carried: make(map[apmachine.Name]carried), retryAt: make(map[apmachine.Name]time.Time), waves: make(map[apfleet.Key]int),
+		inherited: make(map[apmachine.Name]bool),
+		carried:   make(map[apmachine.Name]carried), retryAt: make(map[apmachine.Name]time.Time), waves: make(map[apfleet.Key]int),
 		logged: make(map[apfleet.ServiceName][2]int),
 		tables: apmachine.Tables{
 			Since: make(map[int]time.Time), Finished: make(map[int]apmachine.Finished),
@@ -157,6 +162,7 @@
 		}
 		d.Revision = value.Revision
 		c.tables.Disruptions[d.Machine] = d
+		c.inherited[d.Machine] = true
 	}
 	return nil
 }
@@ -230,6 +236,7 @@
 		return nil
 	}
 	c.tables.Now, c.tables.Started = now, c.started
+	c.tables.First = c.config.Journal.Epoch() == 1
 	if table := c.config.Queues(); table != nil {
 		for _, s := range table.Services {
 			if s.Spare {
@@ -299,6 +306,9 @@
 		return false
 	}
 	c.listed = now
+	if c.firstListed.IsZero() {
+		c.firstListed = now
+	}
 	for i := range machines {
 		m := &machines[i]
 		if away, ok := c.carried[m.Name]; ok {
@@ -351,7 +361,7 @@
 			write.Removals = append(write.Removals, disruptionKey(action.Machine))
 			delete(c.tables.Disruptions, action.Machine)
 		case apmachine.Carry:
-			if len(orders) < maxStepOrders && now.After(c.retryAt[action.Disruption.Machine]) && c.mayOrder(now) {
+			if len(orders) < maxStepOrders && now.After(c.retryAt[action.Disruption.Machine]) && c.mayOrder(action.Disruption.Machine, now) {
 				orders = append(orders, action.Disruption)
 			}
 		case apmachine.Complete:
@@ -375,9 +385,13 @@
 	return c.order(ctx, orders)
 }
 
-// mayOrder holds a new holder back while orders of the last one may still be answered.
-func (c *Controller) mayOrder(now time.Time) bool {
-	return c.config.Journal.Epoch() == 1 || now.Sub(c.started) >= c.config.OrderLease
+// mayOrder holds a new holder back from machines that the last one may just have ordered: those that it
+// was emptying, and those that have not been up all the time since.
+func (c *Controller) mayOrder(name apmachine.Name, now time.Time) bool {
+	if c.config.Journal.Epoch() == 1 || now.Sub(c.started) >= c.config.OrderLease {
+		return true
+	}
+	return !c.inherited[name] && c.tables.UpSince[name].Equal(c.firstListed)
 }
 
 func disruptionKey(name apmachine.Name) apfleet.Key {
--- a/pkg/apmachine/apmachine.go
+++ b/pkg/apmachine/apmachine.go
@@ -108,7 +108,9 @@
 type Tables struct {
 	Now time.Time
 	// Started is when the controller took over.
-	Started  time.Time
+	Started time.Time
+	// First tells that no controller came before: machines and pools are only starting.
+	First    bool
 	Machines []Machine
 	// Spare is the pool of machines that are off.
 	Spare apfleet.ServiceName
--- a/pkg/apmachine/balance.go
+++ b/pkg/apmachine/balance.go
@@ -24,8 +24,10 @@
 	floor = 3
 	// arrival is how long a worker may take from its machine's being up to its first report.
 	arrival = 3 * time.Second
-	// settle is how long a new controller only looks: machines and pools report within it.
-	settle = 2500 * time.Millisecond
+	// settle is how long the first controller only looks: machines and pools start within it. A
+	// successor looks for takeover, until it has read what pools have said.
+	settle   = 2500 * time.Millisecond
+	takeover = 300 * time.Millisecond
 	// emptyingShare is the part of all machines, as a divisor, that may be emptied at once.
 	emptyingShare = 3
 	// idleShare is the part of a machine, as a divisor, that may still be used when it is shed without
@@ -42,7 +44,11 @@
 
 // balance moves machines to pools that have work, and back to the spare pool.
 func balance(t *Tables) []Action {
-	if t.Spare == "" || t.Now.Sub(t.Started) < settle {
+	wait := takeover
+	if t.First {
+		wait = settle
+	}
+	if t.Spare == "" || t.Now.Sub(t.Started) < wait {
 		return nil
 	}
 	size := t.sizes()
