Retry-After grows with the time for which the store has been away

Cause: in an outage of four seconds callers were told to come back after one second, four times in vain.

--- a/internal/apintake/apintake.go
+++ b/internal/apintake/apintake.go
@@ -80,6 +80,23 @@
 	return err == nil && !i.leaving.Load()
 }
 
+// RetryAfter returns when a refused caller should come back. Of an outage of the store nothing is known
+// but how long it has lasted, and it is taken to last as long again, within bounds.
+func (i *Intake) RetryAfter() time.Duration {
+	confirmed := i.confirmed.Load()
+	if confirmed == nil {
+		return minRetryAfter
+	}
+	return min(max(time.Since(*confirmed), minRetryAfter), maxRetryAfter)
+}
+
+const (
+	// minRetryAfter is about the time in which an entry regains the store after its return.
+	minRetryAfter = time.Second
+	// maxRetryAfter is about a caller's patience for one attempt.
+	maxRetryAfter = 3 * time.Second
+)
+
 // Queues returns the settings in force. Errors: SettingsStale.
 func (i *Intake) Queues() (*apqueue.Table, error) {
 	table, confirmed := i.table.Load(), i.confirmed.Load()
