--- /dev/null
+++ b/internal/apintake/apintake_test.go
@@ -0,0 +1,157 @@
+package apintake_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"auburnport/internal/apintake"
+	"auburnport/pkg/apcode"
+	"auburnport/pkg/apfleet"
+	"auburnport/pkg/apjob"
+	"auburnport/pkg/apjournal"
+	"auburnport/pkg/apqueue"
+	"auburnport/pkg/apstore"
+	"auburnport/pkg/apstore/memory"
+)
+
+const id apjob.ID = "5c0e7a21d94b36f8"
+
+var queue = apqueue.Queue{Name: "q", Service: "pool"}
+
+func job() *apjob.Job {
+	return &apjob.Job{ID: id, Queue: "q", Steps: []apjob.Step{{Count: 1}}, Submitted: time.Unix(1, 0).UTC()}
+}
+
+// flaky answers the next writes with an error, after carrying them out or not.
+type flaky struct {
+	apstore.Ledger
+	errs    []error
+	execute bool
+}
+
+func (f *flaky) Commit(ctx context.Context, t apstore.Transaction) (apstore.Result, error) {
+	if len(f.errs) == 0 {
+		return f.Ledger.Commit(ctx, t)
+	}
+	err := f.errs[0]
+	f.errs = f.errs[1:]
+	if f.execute {
+		_, _ = f.Ledger.Commit(ctx, t)
+	}
+	return apstore.Result{}, err
+}
+
+func intake(ledger apstore.Ledger) *apintake.Intake {
+	return apintake.New(ledger, apintake.DefaultOptions(), func(string, apjob.ID, error, map[string]any) {})
+}
+
+func stored(t *testing.T, ledger apstore.Ledger) bool {
+	t.Helper()
+	value, err := ledger.Read(t.Context(), apjournal.JobKey("pool", id))
+	assert.NilError(t, err)
+	return value.Revision != 0
+}
+
+func TestSubmitIsOneJob(t *testing.T) {
+	ledger := memory.Ledger{Store: memory.New()}
+	in := intake(ledger)
+	assert.NilError(t, in.Submit(t.Context(), queue, job()))
+	assert.NilError(t, in.Submit(t.Context(), queue, job()))
+	state, err := in.Status(t.Context(), queue, id)
+	assert.NilError(t, err)
+	assert.Equal(t, state, apjob.Pending)
+}
+
+// A job that has ended is not taken in again when its submission arrives late.
+func TestLateSubmissionOfAnEndedJob(t *testing.T) {
+	ledger := memory.Ledger{Store: memory.New()}
+	_, err := ledger.Commit(t.Context(), apstore.Transaction{Puts: []apstore.Put{{
+		Key: apjournal.ProgressKey("pool", id), Data: apfleet.Encode(apjob.Progress{State: apjob.Completed}),
+	}}})
+	assert.NilError(t, err)
+	in := intake(ledger)
+	assert.NilError(t, in.Submit(t.Context(), queue, job()))
+	assert.Assert(t, !stored(t, ledger))
+	assert.NilError(t, in.Cancel(t.Context(), queue, id))
+	state, err := in.Status(t.Context(), queue, id)
+	assert.NilError(t, err)
+	assert.Equal(t, state, apjob.Completed)
+}
+
+func TestRefusedMeansNotStored(t *testing.T) {
+	ledger := &flaky{Ledger: memory.Ledger{Store: memory.New()}, errs: []error{apcode.Errorf(apcode.StoreUnavailable, "down")}}
+	err := intake(ledger).Submit(t.Context(), queue, job())
+	assert.Equal(t, apcode.Of(err), apcode.StoreUnavailable)
+	assert.Assert(t, !stored(t, ledger))
+}
+
+// After an unknown outcome nothing may be said to be refused: it is settled, or left open.
+func TestUnknownOutcomeIsNeverARefusal(t *testing.T) {
+	unknown := apcode.Errorf(apcode.StoreUnknown, "lost")
+	down := apcode.Errorf(apcode.StoreUnavailable, "down")
+	for name, execute := range map[string]bool{"carried out": true, "lost": false} {
+		synctest.Test(t, func(t *testing.T) {
+			ledger := &flaky{Ledger: memory.Ledger{Store: memory.New()}, errs: []error{unknown, down, down}, execute: execute}
+			assert.NilError(t, intake(ledger).Submit(t.Context(), queue, job()), name)
+			assert.Assert(t, stored(t, ledger), name)
+		})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		ledger := &flaky{Ledger: memory.Ledger{Store: memory.New()}}
+		for range 1000 {
+			ledger.errs = append(ledger.errs, unknown)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		err := intake(ledger).Submit(ctx, queue, job())
+		assert.Equal(t, apcode.Of(err), apcode.JobUnsettled)
+		assert.Assert(t, !apcode.Describe(apcode.Of(err)).NotRun)
+	})
+}
+
+func TestCancelOfAnUnknownJob(t *testing.T) {
+	in := intake(memory.Ledger{Store: memory.New()})
+	assert.Equal(t, apcode.Of(in.Cancel(t.Context(), queue, id)), apcode.NoSuchJob)
+	_, err := in.Status(t.Context(), queue, id)
+	assert.Equal(t, apcode.Of(err), apcode.NoSuchJob)
+}
+
+func TestCancelSettlesALostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ledger := &flaky{Ledger: memory.Ledger{Store: memory.New()}}
+		in := intake(ledger)
+		assert.NilError(t, in.Submit(t.Context(), queue, job()))
+		ledger.errs = []error{apcode.Errorf(apcode.StoreUnknown, "lost")}
+		assert.NilError(t, in.Cancel(t.Context(), queue, id))
+		value, err := ledger.Read(t.Context(), apjournal.CancelKey("pool", id))
+		assert.NilError(t, err)
+		assert.Assert(t, value.Revision != 0)
+	})
+}
+
+// Settings that have not been confirmed lately are not acted on, and older ones never replace newer.
+func TestSettingsAgeAndNeverRevert(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := intake(memory.Ledger{Store: memory.New()})
+		_, err := in.Queues()
+		assert.Equal(t, apcode.Of(err), apcode.SettingsStale)
+		assert.Assert(t, in.Apply(&apqueue.Table{Version: 7}))
+		in.Confirm(time.Now())
+		assert.Assert(t, !in.Apply(&apqueue.Table{Version: 6}))
+		table, err := in.Queues()
+		assert.NilError(t, err)
+		assert.Equal(t, table.Version, uint64(7))
+		assert.Assert(t, in.Ready())
+		time.Sleep(2 * time.Second)
+		_, err = in.Queues()
+		assert.Equal(t, apcode.Of(err), apcode.SettingsStale)
+		assert.Assert(t, !in.Ready())
+		assert.Equal(t, in.RetryAfter(), 2*time.Second)
+		time.Sleep(time.Minute)
+		assert.Equal(t, in.RetryAfter(), 3*time.Second)
+	})
+}
--- a/internal/apnode/apnode.go
+++ b/internal/apnode/apnode.go
@@ -178,6 +178,9 @@
 	tail := apstore.Tail{Ledger: n.store, Prefix: apadapter.PrefixOperator, Wait: settingsWait, Backoff: settingsBackoff}
 	failing := false
 	return tail.Run(ctx, func(update apstore.Update) {
+		if ctx.Err() != nil {
+			return
+		}
 		if (update.Err != nil) != failing {
 			failing = update.Err != nil
 			n.logEvent("Store", map[string]any{"Lost": failing, "Error": update.Err})
--- a/pkg/apjournal/apjournal.go
+++ b/pkg/apjournal/apjournal.go
@@ -162,14 +162,16 @@
 	shard    Shard
 	epoch    Epoch
 	revision apstore.Revision
-	// Fence is above that of every earlier owner of the shard.
+	// fence is above that of every earlier owner of the shard.
 	fence uint64
-	// RetryDelay is the pause between attempts of a write.
-	retryDelay time.Duration
 }
 
-// retryDelay is the pause between attempts of a write: some answers of the store.
-const retryDelay = 50 * time.Millisecond
+// The pause between attempts of a write doubles from some answers of the store to a part of a second,
+// so that a refusing store is not pressed and its return is soon noticed.
+const (
+	minRetryDelay = 50 * time.Millisecond
+	maxRetryDelay = 400 * time.Millisecond
+)
 
 // Claim takes ownership of a shard that has no owner; lease ends the ownership. Errors:
 // StoreConflict when there is an owner, and those of the store.
@@ -201,7 +203,7 @@
 	}
 	return &Journal{
 		ledger: ledger, shard: shard, epoch: epoch, revision: result.Revision,
-		fence: uint64(result.Revision), retryDelay: retryDelay,
+		fence: uint64(result.Revision),
 	}, nil
 }
 
@@ -241,7 +243,7 @@
 		Puts:       append([]apstore.Put{{Key: epochKey(j.shard), Data: apfleet.Encode(next)}}, write.Puts...),
 		Removals:   write.Removals,
 	}
-	for {
+	for delay := minRetryDelay; ; delay = min(2*delay, maxRetryDelay) {
 		result, err := j.ledger.Commit(ctx, transaction)
 		switch apcode.Of(err) {
 		case apcode.OK:
@@ -258,7 +260,7 @@
 		select {
 		case <-ctx.Done():
 			return apcode.Wrapf(apcode.StoreUnknown, ctx.Err(), "write of shard %s", j.shard)
-		case <-time.After(j.retryDelay):
+		case <-time.After(delay):
 		}
 	}
 }
--- a/pkg/apmachine/balance.go
+++ b/pkg/apmachine/balance.go
@@ -19,7 +19,7 @@
 	// task may wait, for demand rises further while machines are on their way.
 	horizon = 500 * time.Millisecond
 	// calm is how long a pool keeps what it wanted last while no other pool lacks machines.
-	calm = 2 * time.Second
+	calm = 800 * time.Millisecond
 	// floor is the least size of a pool: its long-running tasks stand in that many racks.
 	floor = 3
 	// arrival is how long a worker may take from its machine's being up to its first report.
