--- a/pkg/apscheduler/apscheduler.go
+++ b/pkg/apscheduler/apscheduler.go
@@ -91,6 +91,8 @@
 	// learnt corrects estimates of durations.
 	learnt map[durationKey]*average
 	events []Event
+	// paces are orders to throttle that wait to be sent.
+	paces []Order
 }
 
 // Event is a decision or a change of what the shard believes, for the log.
--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -65,6 +65,7 @@
 // batches; the orders go out when those are stored. wall is the time of day for schedules.
 func (s *Shard) Plan(now, wall time.Time) {
 	s.expire(now)
+	s.throttle()
 	s.beginDue(wall)
 	open := s.openWorkers(now)
 	s.evacuate(open, now)
@@ -217,24 +218,40 @@
 		return false
 	}
 	tasks := j.occurrence(c.occurrence).Steps[c.step]
-	use := s.stepUse(j, c.occurrence, c.step, tasks)
-	type choice struct {
-		index int
-		on    *worker
+	chosen, complete := s.pick(c, step, tasks, open)
+	if step.Gang {
+		if !complete || len(chosen) < len(tasks) {
+			return false
+		}
+		levelGang(tasks)
+	}
+	for _, p := range chosen {
+		id := apjob.TaskID{Job: j.def.ID, Occurrence: c.occurrence, Step: c.step, Index: p.index}
+		s.assign(j, id, &tasks[p.index], step, p.on, now)
 	}
+	return complete
+}
+
+// choice is a worker for a task.
+type choice struct {
+	index int
+	on    *worker
+}
+
+// pick returns workers for the waiting tasks of a step, and whether there is one for each.
+func (s *Shard) pick(c *candidate, step *apjob.Step, tasks []apjob.Task, open []*worker) ([]choice, bool) {
+	j := c.job
+	use := s.stepUse(j, c.occurrence, c.step, tasks)
 	var chosen []choice
-	complete, alone := true, true
+	complete := true
 	for k := range tasks {
-		t := &tasks[k]
-		if t.Done || t.Worker != "" {
-			alone = alone && !step.Gang
+		if tasks[k].Done || tasks[k].Worker != "" {
 			continue
 		}
-		id := apjob.TaskID{Job: j.def.ID, Occurrence: c.occurrence, Step: c.step, Index: k}
-		on := s.choose(step, use, open, j.triedOn[id])
+		on := s.choose(step, use, open, j.triedOn[apjob.TaskID{Job: j.def.ID, Occurrence: c.occurrence, Step: c.step, Index: k}])
 		if on == nil {
 			complete = false
-			if step.Gang || len(j.triedOn) == 0 {
+			if len(j.triedOn) == 0 {
 				break
 			}
 			continue
@@ -243,26 +260,22 @@
 		use.add(on)
 		chosen = append(chosen, choice{index: k, on: on})
 	}
-	for _, pick := range chosen {
-		pick.on.used = pick.on.used.Sub(step.Booked())
+	for _, p := range chosen {
+		p.on.used = p.on.used.Sub(step.Booked())
 	}
-	if step.Gang && !(complete && alone) {
-		return false
-	}
-	run := 0
-	checkpoint := ""
+	return chosen, complete
+}
+
+// levelGang gives all members of a gang the same run and the same checkpoint.
+func levelGang(tasks []apjob.Task) {
+	run, checkpoint := 0, ""
 	for k := range tasks {
 		run = max(run, tasks[k].Run)
 		checkpoint = cmp.Or(checkpoint, tasks[k].Checkpoint)
 	}
-	for _, pick := range chosen {
-		t := &tasks[pick.index]
-		if step.Gang {
-			t.Run, t.Checkpoint = run, checkpoint
-		}
-		s.assign(j, apjob.TaskID{Job: j.def.ID, Occurrence: c.occurrence, Step: c.step, Index: pick.index}, t, step, pick.on, now)
+	for k := range tasks {
+		tasks[k].Run, tasks[k].Checkpoint = run, checkpoint
 	}
-	return complete
 }
 
 func anyFits(open []*worker, need apjob.Resources) bool {
@@ -341,6 +354,12 @@
 			continue
 		}
 		score := s.score(step, use, w)
+		if s.disturbs(step, w) {
+			if step.Backfill {
+				continue
+			}
+			score -= avoidWeight
+		}
 		if slices.Contains(avoid, w.info.ID) {
 			// A long-running task fails by itself now and then, and may have no other place.
 			if !step.LongRunning && len(open) > len(avoid) {
@@ -417,7 +436,8 @@
 // Orders returns the orders that are due now: starts of stored runs, stops, and those that went
 // without an answer.
 func (s *Shard) Orders(now time.Time) []Order {
-	var orders []Order
+	orders := s.paces
+	s.paces = nil
 	for _, w := range s.workers {
 		if !w.info.Address.IsValid() {
 			continue
--- a/pkg/apscheduler/worker.go
+++ b/pkg/apscheduler/worker.go
@@ -41,6 +41,8 @@
 	percentAt    time.Time
 	checkpoint   string
 	ticket       string
+	// throttled tells that the run was told to stand still.
+	throttled bool
 	// unknown tells that the run's size is not known.
 	unknown bool
 }
