Advised queues: tickets asked for, kept and renewed

Change: the scheduler asks about workers, those known to be allowed first; a start carries its ticket; one question at a time. Tests: TestAdvisedTasksStartWithATicket, TestAdvice.

--- a/internal/apnode/apnode.go
+++ b/internal/apnode/apnode.go
@@ -69,10 +69,12 @@
 	store    *apadapter.Store
 	workers  *apadapter.Workers
 	machines *apadapter.Machines
-	intake   *apintake.Intake
-	callers  *apadapter.Callers
-	member   *apmember.Member
-	table    atomic.Pointer[apqueue.Table]
+	// advisorClient keeps connections to the advisor.
+	advisorClient *apadapter.Client
+	intake        *apintake.Intake
+	callers       *apadapter.Callers
+	member        *apmember.Member
+	table         atomic.Pointer[apqueue.Table]
 }
 
 // New composes an entry.
@@ -80,6 +82,7 @@
 	n := &Node{settings: settings, logger: logger, metrics: metrics.NewRegistry()}
 	n.store = apadapter.NewStore(apadapter.NewClient(0), settings.Store)
 	n.workers = apadapter.NewWorkers(apadapter.NewClient(workerConnections))
+	n.advisorClient = apadapter.NewClient(1)
 	n.machines = apadapter.NewMachines(apadapter.NewClient(0), settings.Machines, settings.Node)
 	options := apintake.DefaultOptions()
 	options.MaxSettingsAge = time.Duration(freshness * float64(settings.Bounds.Config))
@@ -231,7 +234,7 @@
 		return n.control(ctx, journal)
 	}
 	bounds := n.settings.Bounds
-	owner := apowner.New(apowner.Config{
+	config := apowner.Config{
 		Shard: shard, Ledger: n.store, Workers: n.workers, Registry: registry{}, Journal: journal,
 		Queues: n.table.Load, Log: n.logEvent, Observe: n.observe,
 		Scheduler: []apscheduler.Option{apscheduler.WithOptions(func(o *apscheduler.Options) {
@@ -241,8 +244,11 @@
 			o.FarFactor = bounds.FarFactor
 			o.Notice = bounds.Notice
 		})},
-	})
-	return owner.Run(ctx)
+	}
+	if n.settings.Advisor.IsValid() {
+		config.Advisor = apadapter.NewAdvisor(n.advisorClient, n.settings.Advisor)
+	}
+	return apowner.New(config).Run(ctx)
 }
 
 // control runs the shard of machines.
--- a/internal/apowner/apowner.go
+++ b/internal/apowner/apowner.go
@@ -34,10 +34,12 @@
 
 // Config is what an Owner needs.
 type Config struct {
-	Shard     apjournal.Shard
-	Ledger    apstore.Ledger
-	Workers   apworker.Client
-	Registry  Registry
+	Shard    apjournal.Shard
+	Ledger   apstore.Ledger
+	Workers  apworker.Client
+	Registry Registry
+	// Advisor may be nil; steps that need tickets wait then.
+	Advisor   apworker.Advisor
 	Journal   *apjournal.Journal
 	Queues    func() *apqueue.Table
 	Scheduler []apscheduler.Option
@@ -95,6 +97,9 @@
 	retired   map[apjob.ID]time.Time
 	fatal     error
 	stopping  bool
+	// questions wait for the advisor, which answers one at a time.
+	questions []apscheduler.Question
+	asking    bool
 	// disrupted holds the revision of each disruption of a worker.
 	disrupted map[apjob.WorkerID]apstore.Revision
 	// machines holds the worker that each disruption's key names.
@@ -225,6 +230,7 @@
 	}
 	o.store(ctx, now)
 	o.send(ctx, now)
+	o.ask(ctx)
 	o.hold(ctx)
 	o.report()
 }
--- a/internal/apowner/workers.go
+++ b/internal/apowner/workers.go
@@ -232,3 +232,24 @@
 	}
 	o.shard.Answered(id, run, stop, err, now)
 }
+
+// ask puts the oldest question to the advisor, one at a time, for it serves an entry's calls in turn.
+func (o *Owner) ask(ctx context.Context) {
+	o.questions = append(o.questions, o.shard.TakeQuestions()...)
+	if o.asking || o.config.Advisor == nil || len(o.questions) == 0 {
+		return
+	}
+	o.asking = true
+	question := o.questions[0]
+	o.questions = o.questions[1:]
+	o.calls.Go(func() error {
+		began := time.Now()
+		answer, err := o.config.Advisor.Advise(ctx, question.Step, question.Workers)
+		o.config.Observe("advice", time.Since(began))
+		o.post(ctx, func(now time.Time) {
+			o.asking = false
+			o.shard.Advise(question, answer, err, now)
+		})
+		return nil
+	})
+}
--- a/pkg/apjob/apjob.go
+++ b/pkg/apjob/apjob.go
@@ -214,3 +214,16 @@
 	// Run rises with each start of the task, from 1.
 	Run int
 }
+
+// StepID names a step of an occurrence of a job.
+type StepID struct {
+	Job        ID
+	Occurrence int
+	Step       int
+}
+
+// String returns the form that advisors use.
+func (s StepID) String() string { return fmt.Sprintf("%s.%d.%d", s.Job, s.Occurrence, s.Step) }
+
+// Of returns the step of a task.
+func (t TaskID) Of() StepID { return StepID{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step} }
--- a/pkg/apscheduler/apscheduler.go
+++ b/pkg/apscheduler/apscheduler.go
@@ -91,6 +91,9 @@
 	// learnt corrects estimates of durations.
 	learnt map[durationKey]*average
 	events []Event
+	// advice is what is known of the workers of steps that need tickets; questions wait to be asked.
+	advice    map[apjob.StepID]*advice
+	questions []Question
 	// paces are orders to throttle that wait to be sent.
 	paces []Order
 }
@@ -118,6 +121,7 @@
 		workers: make(map[apjob.WorkerID]*worker),
 		queues:  make(map[apjob.Queue]Queue),
 		learnt:  make(map[durationKey]*average),
+		advice:  make(map[apjob.StepID]*advice),
 	}
 }
 
--- a/pkg/apscheduler/evacuate.go
+++ b/pkg/apscheduler/evacuate.go
@@ -103,12 +103,7 @@
 	for i := range j.progress.Occurrences {
 		for n, tasks := range j.progress.Occurrences[i].Steps {
 			step := &j.def.Steps[n]
-			waiting := 0
-			for k := range tasks {
-				if !tasks[k].Done && tasks[k].Worker == "" {
-					waiting++
-				}
-			}
+			waiting := waitingTasks(tasks)
 			if step.LongRunning {
 				if step.MaxPerWorker > 0 {
 					load.Widest = max(load.Widest, (step.Count+step.MaxPerWorker-1)/step.MaxPerWorker)
--- a/pkg/apscheduler/job.go
+++ b/pkg/apscheduler/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -148,6 +149,7 @@
 	j.progress.State = state
 	j.progress.Ended = now.Unix()
 	delete(s.active, j.def.ID)
+	maps.DeleteFunc(s.advice, func(id apjob.StepID, _ *advice) bool { return id.Job == j.def.ID })
 	s.markDirty(j)
 	if state == apjob.Completed {
 		return
--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -218,6 +218,10 @@
 		return false
 	}
 	tasks := j.occurrence(c.occurrence).Steps[c.step]
+	if s.queues[j.def.Queue].Advised {
+		id := apjob.StepID{Job: j.def.ID, Occurrence: c.occurrence, Step: c.step}
+		open = s.advised(id, waitingTasks(tasks), open, now)
+	}
 	chosen, complete := s.pick(c, step, tasks, open)
 	if step.Gang {
 		if !complete || len(chosen) < len(tasks) {
@@ -232,6 +236,16 @@
 	return complete
 }
 
+func waitingTasks(tasks []apjob.Task) int {
+	n := 0
+	for k := range tasks {
+		if !tasks[k].Done && tasks[k].Worker == "" {
+			n++
+		}
+	}
+	return n
+}
+
 // choice is a worker for a task.
 type choice struct {
 	index int
@@ -286,7 +300,7 @@
 	t.Run++
 	t.Worker = on.info.ID
 	run := apjob.RunKey{Task: id, Run: t.Run}
-	on.book(run, &occupant{need: step.Booked(), phase: phasePlanned, checkpoint: t.Checkpoint})
+	on.book(run, &occupant{need: step.Booked(), phase: phasePlanned, checkpoint: t.Checkpoint, ticket: s.ticketFor(id.Of(), on.info.ID)})
 	j.waiting--
 	j.running++
 	if j.progress.State == apjob.Pending {
