--- a/internal/apnode/apnode.go
+++ b/internal/apnode/apnode.go
@@ -80,10 +80,10 @@
 // New composes an entry.
 func New(settings apadapter.Settings, logger *logrus.Logger) *Node {
 	n := &Node{settings: settings, logger: logger, metrics: metrics.NewRegistry()}
-	n.store = apadapter.NewStore(apadapter.NewClient(0), settings.Store)
-	n.workers = apadapter.NewWorkers(apadapter.NewClient(workerConnections))
-	n.advisorClient = apadapter.NewClient(1)
-	n.machines = apadapter.NewMachines(apadapter.NewClient(0), settings.Machines, settings.Node)
+	n.store = apadapter.NewStore(n.client(0), settings.Store)
+	n.workers = apadapter.NewWorkers(n.client(workerConnections))
+	n.advisorClient = n.client(1)
+	n.machines = apadapter.NewMachines(n.client(0), settings.Machines, settings.Node)
 	options := apintake.DefaultOptions()
 	options.MaxSettingsAge = time.Duration(freshness * float64(settings.Bounds.Config))
 	n.intake = apintake.New(n.store, options, n.logRequest)
@@ -106,6 +106,7 @@
 	defer stop()
 	background, _ := errgroup.WithContext(serving)
 	background.Go(func() error { return n.followSettings(serving) })
+	background.Go(func() error { return n.reportCalls(serving) })
 	for _, s := range servers {
 		background.Go(s.run)
 	}
--- a/internal/apnode/observe.go
+++ b/internal/apnode/observe.go
@@ -1,8 +1,10 @@
 package apnode
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -79,3 +81,48 @@
 		}
 	})
 }
+
+// client returns a client of the platform whose calls are counted.
+func (n *Node) client(maxPerHost int) *apadapter.Client {
+	client := apadapter.NewClient(maxPerHost)
+	client.Count = func(path string) {
+		metrics.GetOrRegisterCounter(callsPrefix+callName(path), n.metrics).Inc(1)
+	}
+	return client
+}
+
+const (
+	callsPrefix = "calls."
+	// reportEvery is how often the counts of calls are logged.
+	reportEvery = 10 * time.Second
+)
+
+// callName returns the name of a call: the last part of its path that isn't a number.
+func callName(path string) string {
+	name := strings.TrimPrefix(path, "/auburnport/")
+	name, _, _ = strings.Cut(name, "/")
+	return name
+}
+
+// reportCalls logs the counts of calls to the platform since the last line.
+func (n *Node) reportCalls(ctx context.Context) error {
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	last := make(map[string]int64)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		fields := make(map[string]any)
+		n.metrics.Each(func(name string, metric any) {
+			counter, ok := metric.(metrics.Counter)
+			if call, isCall := strings.CutPrefix(name, callsPrefix); ok && isCall {
+				fields[call] = counter.Count() - last[name]
+				last[name] = counter.Count()
+			}
+		})
+		n.logEvent("Calls", fields)
+	}
+}
