A worker whose machine has gone gets no more tasks

Change: a worker stays cordoned for 6 s after its disruption; one that refuses a connection gets nothing until it answers. Tests: TestWorkerThatRefusesConnectionsGetsNothing, TestReservedWorkerMayTakeTheTask, TestHomelessTaskBringsAMachine.

--- a/internal/apowner/apowner.go
+++ b/internal/apowner/apowner.go
@@ -102,6 +102,8 @@
 	asking    bool
 	// disrupted holds the revision of each disruption of a worker.
 	disrupted map[apjob.WorkerID]apstore.Revision
+	// leftAt is when the disruption of a worker ended.
+	leftAt map[apjob.WorkerID]time.Time
 	// machines holds the worker that each disruption's key names.
 	machines map[apfleet.Key]apjob.WorkerID
 	// pool is what the store says of the shard's pool.
@@ -119,6 +121,7 @@
 
 		disrupted: make(map[apjob.WorkerID]apstore.Revision),
 		machines:  make(map[apfleet.Key]apjob.WorkerID),
+		leftAt:    make(map[apjob.WorkerID]time.Time),
 	}
 }
 
@@ -204,6 +207,7 @@
 			o.drain()
 		case <-ticker.C:
 			o.setQueues()
+			o.cordon(time.Now())
 		}
 		if o.fatal != nil {
 			return o.fatal
--- a/internal/apowner/pool.go
+++ b/internal/apowner/pool.go
@@ -45,10 +45,7 @@
 	}
 	for _, event := range update.Events {
 		if event.Removed {
-			maps.DeleteFunc(o.disrupted, func(id apjob.WorkerID, _ apstore.Revision) bool {
-				return o.machines[event.Value.Key] == id
-			})
-			delete(o.machines, event.Value.Key)
+			o.released(event.Value.Key)
 			continue
 		}
 		var d apmachine.Disruption
@@ -61,10 +58,37 @@
 			o.machines[event.Value.Key] = d.Worker
 		}
 	}
-	cordoned := make(map[apjob.WorkerID]bool, len(o.disrupted))
+	o.cordon(time.Now())
+}
+
+// afterlife is how long a worker stays cordoned after its disruption has ended: its machine has been
+// ordered away, and its registration goes within some heartbeats.
+const afterlife = 6 * time.Second
+
+// released notes the end of a disruption.
+func (o *Owner) released(key apfleet.Key) {
+	id, ok := o.machines[key]
+	if !ok {
+		return
+	}
+	delete(o.machines, key)
+	delete(o.disrupted, id)
+	o.leftAt[id] = time.Now()
+}
+
+// cordon keeps runs from workers that are disrupted, or were a moment ago.
+func (o *Owner) cordon(now time.Time) {
+	cordoned := make(map[apjob.WorkerID]bool, len(o.disrupted)+len(o.leftAt))
 	for id := range o.disrupted {
 		cordoned[id] = true
 	}
+	for id, at := range o.leftAt {
+		if now.Sub(at) > afterlife {
+			delete(o.leftAt, id)
+			continue
+		}
+		cordoned[id] = true
+	}
 	o.shard.Cordon(cordoned)
 }
 
@@ -81,8 +105,8 @@
 		return apmachine.Pool{}, false
 	}
 	load := o.shard.PoolLoad(now)
-	pool := apmachine.Pool{Empty: empty, Lasting: load.Lasting, Used: load.Used, Queued: load.Queued, Widest: load.Widest}
+	pool := apmachine.Pool{Empty: empty, Lasting: load.Lasting, Used: load.Used, Queued: load.Queued, Widest: load.Widest, Homeless: load.Homeless}
 	same := maps.Equal(empty, o.pool.Empty) && maps.Equal(pool.Lasting, o.pool.Lasting) &&
-		maps.Equal(pool.Used, o.pool.Used) && pool.Queued == o.pool.Queued && pool.Widest == o.pool.Widest
+		maps.Equal(pool.Used, o.pool.Used) && pool.Queued == o.pool.Queued && pool.Widest == o.pool.Widest && pool.Homeless == o.pool.Homeless
 	return pool, !same
 }
--- a/pkg/apmachine/apmachine.go
+++ b/pkg/apmachine/apmachine.go
@@ -89,6 +89,8 @@
 	Queued int64 `cbor:"Queued"`
 	// Widest is how many workers the widest long-running step needs.
 	Widest int `cbor:"Widest"`
+	// Homeless counts the long-running tasks that wait for a place.
+	Homeless int `cbor:"Homeless"`
 }
 
 // Check accepts every pool.
--- a/pkg/apmachine/apmachine_test.go
+++ b/pkg/apmachine/apmachine_test.go
@@ -196,3 +196,13 @@
 	assert.Equal(t, len(tables.Finished[1].Machines), len(wave.Machines))
 	assert.Equal(t, len(back), 0)
 }
+
+// A long-running task that no worker of the pool may take gets another machine.
+func TestHomelessTaskBringsAMachine(t *testing.T) {
+	tables := world(map[apfleet.ServiceName]int{"a": 3}, 2)
+	pool := tables.Pools["a"]
+	pool.Homeless = 1
+	tables.Pools["a"] = pool
+	carried, _ := moves(apmachine.Plan(tables))
+	assert.Equal(t, carried["a"], 1)
+}
--- a/pkg/apmachine/balance.go
+++ b/pkg/apmachine/balance.go
@@ -137,7 +137,12 @@
 		used += cpu
 	}
 	needed := headroom*float64(used) + float64(p.Queued)/horizon.Seconds()
-	return max(floor, p.Widest, int(math.Ceil(needed/t.typicalCPU())))
+	least := max(floor, p.Widest)
+	if p.Homeless > 0 {
+		// Bounds for one worker can keep a task from all that there are.
+		least = max(least, len(p.Used)+1)
+	}
+	return max(least, int(math.Ceil(needed/t.typicalCPU())))
 }
 
 // typicalCPU returns the mean capacity of a machine, in thousandths of a core.
--- a/pkg/apscheduler/evacuate.go
+++ b/pkg/apscheduler/evacuate.go
@@ -75,6 +75,8 @@
 	Queued int64
 	// Widest is how many workers the widest long-running step needs.
 	Widest int
+	// Homeless counts the long-running tasks that wait for a place.
+	Homeless int
 }
 
 // PoolLoad returns what the shard's pool has to do.
@@ -105,6 +107,7 @@
 			step := &j.def.Steps[n]
 			waiting := waitingTasks(tasks)
 			if step.LongRunning {
+				load.Homeless += waiting
 				if step.MaxPerWorker > 0 {
 					load.Widest = max(load.Widest, (step.Count+step.MaxPerWorker-1)/step.MaxPerWorker)
 				}
--- a/pkg/apscheduler/place_test.go
+++ b/pkg/apscheduler/place_test.go
@@ -55,6 +55,32 @@
 	t.Fatal("the long-running task did not start")
 }
 
+// The reserved worker is one that the waiting task may use: not the one that has its share already.
+func TestReservedWorkerMayTakeTheTask(t *testing.T) {
+	s := apscheduler.New(1)
+	s.Register(workerInfo("roomy", 9000), start)
+	s.Report("roomy", apworker.Report{Clock: time.Second}, start, start)
+	s.Submit(job(apjob.Step{Count: 2, Need: apjob.Resources{CPU: 3000}, LongRunning: true, MaxPerWorker: 1}), 0, start)
+	s.Plan(start, start)
+	storeAll(s)
+	assert.Equal(t, len(starts(s.Orders(start))), 1)
+	s.Register(workerInfo("other", 4000), start)
+	s.Report("other", apworker.Report{Clock: time.Second}, start, start)
+	small := func(n int) {
+		id := apjob.ID(fmt.Sprintf("%016x", n))
+		s.Submit(&apjob.Job{ID: id, Queue: "q", Steps: []apjob.Step{{Count: 1, Need: apjob.Resources{CPU: 2000}}}, Submitted: start}, 0, start)
+	}
+	small(1)
+	s.Plan(start, start)
+	storeAll(s)
+	for _, run := range starts(s.Orders(start)) {
+		if run.Task.Job == jobID {
+			return
+		}
+	}
+	t.Fatal("the long-running task did not get the worker that it may use")
+}
+
 // A worker that fails all that it starts gets no more runs for a while, and a task that failed there
 // goes elsewhere, so that a job isn't lost by one bad worker.
 func TestFailingWorkerIsQuarantined(t *testing.T) {
--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -80,17 +80,19 @@
 		}
 		c := &candidates[i]
 		if complete := s.placeStep(c, open, now); !complete && c.urgency == urgencyLasting {
-			open = reserve(open, &c.job.def.Steps[c.step])
+			open = s.reserve(open, c)
 		}
 	}
 }
 
 // reserve takes the worker with the most room out of those that are open, so that a long-running task
 // finds room there soon, which smaller tasks would take bit by bit.
-func reserve(open []*worker, step *apjob.Step) []*worker {
+func (s *Shard) reserve(open []*worker, c *candidate) []*worker {
+	step := &c.job.def.Steps[c.step]
+	use := s.stepUse(c.job, c.occurrence, c.step, c.job.occurrence(c.occurrence).Steps[c.step])
 	best := -1
 	for i, w := range open {
-		if !w.info.Capacity.Fits(step.Booked()) || step.Label != "" && !slices.Contains(w.info.Labels, step.Label) {
+		if !w.info.Capacity.Fits(step.Booked()) || !allows(step, use, w) {
 			continue
 		}
 		if best < 0 || w.info.Capacity.CPU-w.used.CPU > open[best].info.Capacity.CPU-open[best].used.CPU {
@@ -103,6 +105,14 @@
 	return slices.Concat(open[:best], open[best+1:])
 }
 
+// allows reports whether a step's label and its bound for one worker let a task run there.
+func allows(step *apjob.Step, use *stepUse, w *worker) bool {
+	if step.Label != "" && !slices.Contains(w.info.Labels, step.Label) {
+		return false
+	}
+	return step.MaxPerWorker == 0 || use.workers[w.info.ID] < step.MaxPerWorker
+}
+
 // beginDue begins the occurrences whose time has come.
 func (s *Shard) beginDue(wall time.Time) {
 	for _, j := range s.active {
@@ -358,13 +368,7 @@
 	var bestScore float64
 	need := step.Booked()
 	for _, w := range open {
-		if !w.info.Capacity.Sub(w.used).Fits(need) {
-			continue
-		}
-		if step.Label != "" && !slices.Contains(w.info.Labels, step.Label) {
-			continue
-		}
-		if step.MaxPerWorker > 0 && use.workers[w.info.ID] >= step.MaxPerWorker {
+		if !w.info.Capacity.Sub(w.used).Fits(need) || !allows(step, use, w) {
 			continue
 		}
 		score := s.score(step, use, w)
--- a/pkg/apscheduler/silence_test.go
+++ b/pkg/apscheduler/silence_test.go
@@ -81,3 +81,25 @@
 	storeAll(s)
 	assert.DeepEqual(t, starts(s.Orders(now)), []apjob.RunKey{{Task: run[0].Task, Run: 2}})
 }
+
+// A worker whose machine was taken away refuses connections while its registration is still there. It
+// gets nothing more until it answers.
+func TestWorkerThatRefusesConnectionsGetsNothing(t *testing.T) {
+	s := apscheduler.New(1)
+	s.Register(workerInfo("w1", 4000), start)
+	s.Report("w1", apworker.Report{Clock: time.Second}, start, start)
+	s.Submit(job(apjob.Step{Count: 1, Need: apjob.Resources{CPU: 1000}}), 0, start)
+	s.Plan(start, start)
+	storeAll(s)
+	run := starts(s.Orders(start))
+	assert.Equal(t, len(run), 1)
+	s.Answered("w1", run[0], false, apcode.Errorf(apcode.WorkerGone, "refused"), start)
+	now := start.Add(time.Second)
+	s.Plan(now, now)
+	storeAll(s)
+	assert.Equal(t, len(starts(s.Orders(now))), 0)
+	s.Report("w1", apworker.Report{Clock: 2 * time.Second}, now, now)
+	s.Plan(now, now)
+	storeAll(s)
+	assert.DeepEqual(t, starts(s.Orders(now)), []apjob.RunKey{{Task: run[0].Task, Run: 2}})
+}
--- a/pkg/apscheduler/worker.go
+++ b/pkg/apscheduler/worker.go
@@ -221,11 +221,18 @@
 // Gone notes that a worker's process has ended: nothing listens at its address, or another life
 // answers there.
 func (s *Shard) Gone(id apjob.WorkerID, now time.Time) {
-	if w, ok := s.workers[id]; ok && !w.registered {
-		s.clear(w, "Gone", now)
-		if len(w.occupants) == 0 {
-			delete(s.workers, id)
-		}
+	w, ok := s.workers[id]
+	if !ok {
+		return
+	}
+	// It gets nothing until it answers again, whatever its registration says.
+	w.lastOK = time.Time{}
+	if w.registered {
+		return
+	}
+	s.clear(w, "Gone", now)
+	if len(w.occupants) == 0 {
+		delete(s.workers, id)
 	}
 }
 
@@ -369,7 +376,7 @@
 	}
 	code := apcode.Of(err)
 	if code != apcode.OK {
-		s.log("OrderFailed", run, id, map[string]any{"Code": uint16(code), "Stop": stop, "Attempt": o.attempts})
+		s.log("OrderFailed", run, id, map[string]any{"Code": uint16(code), "Stop": stop, "Attempt": o.attempts, "Error": err})
 	}
 	switch {
 	case code == apcode.WorkerSilent:
@@ -399,8 +406,12 @@
 func (s *Shard) refused(w *worker, run apjob.RunKey, o *occupant, code apcode.Code, now time.Time) {
 	w.release(run)
 	w.retryAt = now.Add(s.options.ResendAfter)
-	if code == apcode.WorkerRefused {
+	switch code {
+	case apcode.WorkerRefused:
 		w.retryAt = now.Add(s.options.MaxResend)
+	case apcode.WorkerGone, apcode.WorkerChanged:
+		w.lastOK = time.Time{}
+	default:
 	}
 	s.taskEnded(run, w.info.ID, apworker.EndStopped, o.checkpoint, now)
 }
