--- a/pkg/apmachine/apmachine_test.go
+++ b/pkg/apmachine/apmachine_test.go
@@ -206,3 +206,15 @@
 	carried, _ := moves(apmachine.Plan(tables))
 	assert.Equal(t, carried["a"], 1)
 }
+
+// Also while machines are short a pool keeps what its long-running tasks can't do without.
+func TestShortageLeavesLongRunningTasksTheirWorkers(t *testing.T) {
+	tables := world(map[apfleet.ServiceName]int{"a": 12, "b": 5}, 0)
+	busy, wide := tables.Pools["a"], tables.Pools["b"]
+	busy.Queued = 900_000
+	wide.Widest, wide.Homeless = 5, 1
+	tables.Pools["a"], tables.Pools["b"] = busy, wide
+	_, opened := moves(apmachine.Plan(tables))
+	assert.Equal(t, opened["b"], 1)
+	assert.Equal(t, opened["a"], 0)
+}
--- a/pkg/apmachine/balance.go
+++ b/pkg/apmachine/balance.go
@@ -89,20 +89,19 @@
 	if t.Wants == nil {
 		t.Wants = make(map[apfleet.ServiceName]Want)
 	}
-	needs := make(map[apfleet.ServiceName]int, len(pools))
-	sum, all, extra := 0, size[t.Spare], 0
+	needs := make(map[apfleet.ServiceName]need, len(pools))
+	asked, least, all := 0, 0, size[t.Spare]
 	for _, pool := range pools {
-		needs[pool] = t.need(pool)
-		sum += needs[pool]
-		extra += needs[pool] - floor
+		n := t.need(pool)
+		needs[pool] = n
+		asked += n.machines
+		least += n.least
 		all += size[pool]
 	}
-	short := sum > all
-	if short {
-		divide(needs, pools, all, extra)
-	}
+	short := asked > all
+	wants := divide(needs, pools, all-least, asked-least, short)
 	for _, pool := range pools {
-		want, last := needs[pool], t.Wants[pool]
+		want, last := wants[pool], t.Wants[pool]
 		if short || want >= last.Machines || t.Now.Sub(last.At) >= calm {
 			t.Wants[pool] = Want{Machines: want, At: t.Now}
 		}
@@ -110,39 +109,51 @@
 	return short
 }
 
-// divide cuts the needs down to what there is: each pool keeps its floor and gets a part of the rest by
-// its need; what rounding leaves goes to the pool that needs most.
-func divide(needs map[apfleet.ServiceName]int, pools []apfleet.ServiceName, all, extra int) {
-	rest := max(0, all-floor*len(pools))
+// need is how many machines a pool's work asks for, and how many its long-running tasks can't do
+// without.
+type need struct {
+	least, machines int
+}
+
+// divide returns what each pool should have. When machines are short, each gets its least and a part of
+// the rest by its need; what rounding leaves goes to the pool that needs most.
+func divide(needs map[apfleet.ServiceName]need, pools []apfleet.ServiceName, rest, extra int, short bool) map[apfleet.ServiceName]int {
+	wants := make(map[apfleet.ServiceName]int, len(pools))
+	rest = max(0, rest)
 	left := rest
-	most := pools[0]
+	var most apfleet.ServiceName
 	for _, pool := range pools {
-		if needs[pool] > needs[most] {
+		n := needs[pool]
+		wants[pool] = n.machines
+		if n.machines > needs[most].machines {
 			most = pool
 		}
+		if short {
+			part := (n.machines - n.least) * rest / max(1, extra)
+			wants[pool] = n.least + part
+			left -= part
+		}
 	}
-	for _, pool := range pools {
-		part := (needs[pool] - floor) * rest / max(1, extra)
-		needs[pool] = floor + part
-		left -= part
+	if short && most != "" {
+		wants[most] += left
 	}
-	needs[most] += left
+	return wants
 }
 
-// need returns how many machines a pool's work asks for.
-func (t *Tables) need(pool apfleet.ServiceName) int {
+// need returns what a pool's work asks for.
+func (t *Tables) need(pool apfleet.ServiceName) need {
 	p := t.Pools[pool]
 	var used int64
 	for _, cpu := range p.Used {
 		used += cpu
 	}
-	needed := headroom*float64(used) + float64(p.Queued)/horizon.Seconds()
+	work := headroom*float64(used) + float64(p.Queued)/horizon.Seconds()
 	least := max(floor, p.Widest)
 	if p.Homeless > 0 {
 		// Bounds for one worker can keep a task from all that there are.
 		least = max(least, len(p.Used)+1)
 	}
-	return max(least, int(math.Ceil(needed/t.typicalCPU())))
+	return need{least: least, machines: max(least, int(math.Ceil(work/t.typicalCPU())))}
 }
 
 // typicalCPU returns the mean capacity of a machine, in thousandths of a core.
