--- a/cmd/auburnport-node/main.go
+++ b/cmd/auburnport-node/main.go
@@ -56,7 +56,18 @@
 	logging, done := context.WithCancel(context.Background())
 	group := &errgroup.Group{}
 	group.Go(func() error { return lines.Run(logging, os.Stdout) })
-	err = apnode.New(settings, logger).Run(ctx)
+	node := apnode.New(settings, logger)
+	group.Go(func() error {
+		for {
+			select {
+			case <-logging.Done():
+				return nil
+			case <-reload:
+				node.Reload(func() (apadapter.Settings, error) { return apadapter.ReadSettings(file) })
+			}
+		}
+	})
+	err = node.Run(ctx)
 	done()
 	_ = group.Wait()
 	return err
--- a/internal/apnode/apnode.go
+++ b/internal/apnode/apnode.go
@@ -95,6 +95,13 @@
 	return n
 }
 
+// Reload notes that the settings file may have changed. What it holds is fixed for the life of a process,
+// so a change is logged and takes effect at the next start.
+func (n *Node) Reload(read func() (apadapter.Settings, error)) {
+	settings, err := read()
+	n.logEvent("Reload", map[string]any{"Changed": err == nil && settings != n.settings, "Error": err})
+}
+
 // Run serves until ctx ends, then leaves: shards first, callers last.
 func (n *Node) Run(ctx context.Context) error {
 	servers, err := n.listen(ctx)
@@ -242,8 +249,6 @@
 			o.Lease = min(usualLease, time.Duration(leaseShare*float64(bounds.MaxLease)))
 			o.MaxLease = min(o.Lease+fencingTime, bounds.MaxLease)
 			o.StopTime = bounds.StopTime
-			o.FarFactor = bounds.FarFactor
-			o.Notice = bounds.Notice
 		})},
 	}
 	if n.settings.Advisor.IsValid() {
--- a/internal/apowner/apowner.go
+++ b/internal/apowner/apowner.go
@@ -88,8 +88,10 @@
 	calls  *errgroup.Group
 	held   map[apjob.WorkerID]bool
 
-	storing   bool
-	storedAt  time.Time
+	// storing tells that a write is under way; only one is at a time.
+	storing  bool
+	storedAt time.Time
+	// wantWrite tells that the loop will be woken for the next write.
 	wantWrite bool
 	// waiting is what the store has of the counts of waiting jobs.
 	waiting   map[apjob.Queue]int
--- a/internal/apowner/workers.go
+++ b/internal/apowner/workers.go
@@ -133,7 +133,7 @@
 			return
 		}
 		o.post(ctx, func(now time.Time) { o.reported(id, report, err, asked, now) })
-		pause(ctx, holdPause(report, err))
+		apstore.Pause(ctx, holdPause(report, err))
 	}
 }
 
@@ -148,18 +148,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	if d == 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (o *Owner) question(id apjob.WorkerID, now time.Time) question {
 	for _, target := range o.shard.Workers() {
 		if target.ID != id {
--- a/pkg/apscheduler/options.go
+++ b/pkg/apscheduler/options.go
@@ -25,12 +25,6 @@
 	SuspectAfter time.Duration
 	// MaxSilence is how old a worker's last answer may be for it to get new runs.
 	MaxSilence time.Duration
-	// FarFactor is how much longer a task takes away from its rack.
-	FarFactor float64
-	// Retention is how long the end of a job is shown.
-	Retention time.Duration
-	// Notice is how long a long-running task that is not at work counts as away after a stop.
-	Notice time.Duration
 	// BatchEntries bounds the entries of a batch in its transaction.
 	BatchEntries int
 	// MaxEvents bounds the events kept between two calls of TakeEvents.
@@ -54,9 +48,6 @@
 		MaxResend:    2 * time.Second,
 		SuspectAfter: 1500 * time.Millisecond,
 		MaxSilence:   1800 * time.Millisecond,
-		FarFactor:    1.5,
-		Retention:    2 * time.Minute,
-		Notice:       4500 * time.Millisecond,
 		BatchEntries: maxBatchEntries,
 		MaxEvents:    4096,
 	}
--- a/pkg/apstore/tail.go
+++ b/pkg/apstore/tail.go
@@ -38,7 +38,7 @@
 		page, err := t.Ledger.Scan(ctx, t.Prefix)
 		if err != nil {
 			apply(Update{Err: err, Asked: asked})
-			pause(ctx, t.Backoff)
+			Pause(ctx, t.Backoff)
 			continue
 		}
 		update := Update{Reset: true, Asked: asked}
@@ -61,16 +61,17 @@
 		}
 		if err != nil {
 			apply(Update{Err: err, Asked: asked})
-			pause(ctx, t.Backoff)
+			Pause(ctx, t.Backoff)
 			continue
 		}
 		after = max(after, feed.Revision)
 		apply(Update{Events: feed.Events, Asked: asked})
-		pause(ctx, t.Gap)
+		Pause(ctx, t.Gap)
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
+// Pause waits until a time has passed or ctx ends.
+func Pause(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
 	}
