--- a/pkg/apscheduler/evacuate.go
+++ b/pkg/apscheduler/evacuate.go
@@ -54,11 +54,11 @@
 	return away
 }
 
-// atWork reports whether a long-running task was at work a moment ago: a worker that is silent may be
-// down.
+// atWork reports whether a long-running task was at work a moment ago and stays so: a worker that is
+// silent may be down, and one that drains takes its tasks away.
 func (s *Shard) atWork(id apjob.TaskID, t *apjob.Task, now time.Time) bool {
 	w := s.workers[t.Worker]
-	if t.Worker == "" || w == nil || now.Sub(w.lastOK) > s.options.MaxSilence {
+	if t.Worker == "" || w == nil || w.info.Draining || now.Sub(w.lastOK) > s.options.MaxSilence {
 		return false
 	}
 	o := w.occupants[apjob.RunKey{Task: id, Run: t.Run}]
--- a/pkg/apscheduler/evacuate_test.go
+++ b/pkg/apscheduler/evacuate_test.go
@@ -67,3 +67,30 @@
 	assert.DeepEqual(t, stops(s.Orders(now)), []apjob.RunKey{at[ids[0]]})
 	assert.Assert(t, !s.Empty(ids[0]))
 }
+
+// A worker that leaves takes its task away. A task of the same step on a sound worker must not be
+// stopped at the same time, in whatever order the workers are looked at.
+func TestEvacuationCountsTasksOfLeavingWorkers(t *testing.T) {
+	for range 20 {
+		s, at := lastingWorld(t)
+		now := start.Add(time.Second)
+		var ids []apjob.WorkerID
+		for id, run := range at {
+			ids = append(ids, id)
+			work(s, id, run, now)
+		}
+		for _, id := range []apjob.WorkerID{"w1", "w2", "w3"} {
+			if at[id].Run == 0 {
+				s.Report(id, apworker.Report{Clock: 2 * time.Second}, now, now)
+			}
+		}
+		s.Register(workerInfo("w4", 4000), now)
+		s.Report("w4", apworker.Report{Clock: time.Second}, now, now)
+		leaving := workerInfo(ids[1], 4000)
+		leaving.Draining = true
+		s.Register(leaving, now)
+		s.Cordon(map[apjob.WorkerID]bool{ids[0]: true})
+		s.Plan(now, now)
+		assert.DeepEqual(t, stops(s.Orders(now)), []apjob.RunKey{at[ids[1]]})
+	}
+}
