--- a/pkg/apscheduler/apscheduler.go
+++ b/pkg/apscheduler/apscheduler.go
@@ -78,7 +78,9 @@
 type Shard struct {
 	options Options
 	// fence is above that of every earlier owner.
-	fence   uint64
+	fence uint64
+	// since is the time of the first plan.
+	since   time.Time
 	jobs    map[apjob.ID]*job
 	workers map[apjob.WorkerID]*worker
 	queues  map[apjob.Queue]Queue
--- a/pkg/apscheduler/evacuate.go
+++ b/pkg/apscheduler/evacuate.go
@@ -9,6 +9,10 @@
 // allAtWork is the progress of a long-running task that is at work.
 const allAtWork = 100
 
+// oldStops is how long after a run has stopped its end may still be on its way. A successor stops nothing
+// on sound workers before, for a run that its predecessor is stopping looks like one at work.
+const oldStops = time.Second
+
 // evacuate stops long-running tasks on workers that leave or are cordoned, so that they go on
 // elsewhere. Other tasks run to their end. On a sound worker a task is stopped only while the step
 // can do without it and there is room for it.
@@ -36,6 +40,9 @@
 	if s.choose(step, use, open, nil) == nil {
 		return
 	}
+	if !w.info.Draining && now.Sub(s.since) < s.options.StopTime+oldStops {
+		return
+	}
 	if !w.info.Draining && s.away(run.Task, tasks, now) >= max(1, step.MaxUnavailable) {
 		return
 	}
--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -63,6 +63,9 @@
 // Plan assigns tasks that may start to workers with room. The assignments are part of the next
 // batches; the orders go out when those are stored. wall is the time of day for schedules.
 func (s *Shard) Plan(now, wall time.Time) {
+	if s.since.IsZero() {
+		s.since = now
+	}
 	s.expire(now)
 	s.throttle()
 	s.beginDue(wall)
