Read again: one wait and one put in the memory store, one pause, one chain of work, one table of disruptions

What stood twice: the watch loop and the put of the memory store, four waits on a context, the longest chain of a job, the type of a log, the lease calls of both store interfaces, the look-up of a worker to hold. Work done for nothing: waiting jobs were counted on every step though stored once a second; the queues' settings were rebuilt ten times a second though unchanged; a whole list of workers was built to find one. Behaviour: as before, but for one case: a disruption that ended while the store forgot its history now leaves its worker cordoned for 6 s like every other (two maps had to agree, and did not on a reset; there is one now). Checks: tests of the packages touched, formatter, linter.

--- a/internal/apcontroller/apcontroller.go
+++ b/internal/apcontroller/apcontroller.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"auburnport/internal/aplog"
+
 	"golang.org/x/sync/errgroup"
 
 	"auburnport/pkg/apfleet"
@@ -36,9 +38,6 @@
 	Status(number int, completed bool) (apfleet.Key, []byte, error)
 }
 
-// Log receives one decision.
-type Log func(event string, fields map[string]any)
-
 // Config is what a Controller needs.
 type Config struct {
 	Ledger   apstore.Ledger
@@ -46,7 +45,7 @@
 	Machines Machines
 	Waves    Waves
 	Queues   func() *apqueue.Table
-	Log      Log
+	Log      aplog.Event
 	// OrderLease is how long a new holder waits before it orders machines that another has ordered.
 	OrderLease time.Duration
 	// Away is the least time that a machine is away after an order.
--- a/internal/apdaemon/loops.go
+++ b/internal/apdaemon/loops.go
@@ -108,7 +108,7 @@
 	var after apstore.Revision
 	for ctx.Err() == nil {
 		if !d.isRelay() || !d.joined.Load() {
-			pause(ctx, idleRelay)
+			apstore.Pause(ctx, idleRelay)
 			after = 0
 			continue
 		}
@@ -116,7 +116,7 @@
 		page, err := d.store.Watch(ctx, apfleet.KeyPrefix, after, watchWait)
 		if err != nil {
 			metrics.GetOrRegisterCounter("Store.WatchFailed", d.metrics).Inc(1)
-			pause(ctx, relayRetry)
+			apstore.Pause(ctx, relayRetry)
 			after = 0
 			continue
 		}
@@ -140,13 +140,6 @@
 	return after
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // controlTick runs the systems once when this entry holds the control lease.
 func (d *Daemon) controlTick(ctx context.Context, now time.Time) {
 	d.controlling.Lock()
@@ -203,7 +196,7 @@
 		}
 		d.logger.WithError(err).WithField("Event", "JoinFailed").Warn()
 		d.attachFromPeers()
-		pause(ctx, joinRetry)
+		apstore.Pause(ctx, joinRetry)
 	}
 }
 
@@ -278,7 +271,7 @@
 	defer cancel()
 	close(d.leaving)
 	d.logger.WithFields(logrus.Fields{"Event": "Leaving", "Entry": d.self.Name, "InFlight": d.entry.InFlight()}).Info()
-	pause(ctx, leaveNotice)
+	apstore.Pause(ctx, leaveNotice)
 	d.entry.Leave()
 	d.releaseLease(ctx)
 	_ = s.caller.Shutdown(ctx)
--- a/internal/aplog/aplog.go
+++ b/internal/aplog/aplog.go
@@ -21,6 +21,9 @@
 	FormatJSON = "json"
 )
 
+// Event receives one decision: its name, and its inputs and outcome by name.
+type Event func(event string, fields map[string]any)
+
 // New returns a logger at a level and in a format. Errors carry BadValue.
 func New(out io.Writer, level, format string) (*logrus.Logger, error) {
 	parsed, err := logrus.ParseLevel(level)
--- a/internal/apmember/apmember.go
+++ b/internal/apmember/apmember.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"auburnport/internal/aplog"
+
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
@@ -48,9 +50,6 @@
 	watchBackoff = 100 * time.Millisecond
 )
 
-// Log receives one decision.
-type Log func(event string, fields map[string]any)
-
 // Own runs a claimed shard until ctx ends or the shard is lost.
 type Own func(ctx context.Context, shard apjournal.Shard, journal *apjournal.Journal) error
 
@@ -61,7 +60,7 @@
 	options Options
 	shards  func() []apjournal.Shard
 	own     Own
-	log     Log
+	log     aplog.Event
 
 	mu sync.Mutex
 	// entries holds the weights of those that are up.
@@ -76,7 +75,7 @@
 }
 
 // New returns a member that claims among shards and runs what it gets with own.
-func New(ledger apstore.Ledger, name apfleet.EntryName, shards func() []apjournal.Shard, own Own, log Log, options Options) *Member {
+func New(ledger apstore.Ledger, name apfleet.EntryName, shards func() []apjournal.Shard, own Own, log aplog.Event, options Options) *Member {
 	return &Member{
 		ledger: ledger, name: name, options: options, shards: shards, own: own, log: log,
 		entries: make(map[apfleet.EntryName]int), owners: make(map[apjournal.Shard]apfleet.EntryName),
--- a/internal/apowner/apowner.go
+++ b/internal/apowner/apowner.go
@@ -6,6 +6,8 @@
 	"context"
 	"time"
 
+	"auburnport/internal/aplog"
+
 	"golang.org/x/sync/errgroup"
 
 	"auburnport/pkg/apcode"
@@ -29,9 +31,6 @@
 	ID(key apfleet.Key) apjob.WorkerID
 }
 
-// Log receives one decision.
-type Log func(event string, fields map[string]any)
-
 // Config is what an Owner needs.
 type Config struct {
 	Shard    apjournal.Shard
@@ -43,7 +42,7 @@
 	Journal   *apjournal.Journal
 	Queues    func() *apqueue.Table
 	Scheduler []apscheduler.Option
-	Log       Log
+	Log       aplog.Event
 	// Observe receives durations by name, for the histograms.
 	Observe func(name string, d time.Duration)
 }
@@ -87,6 +86,8 @@
 	orders *errgroup.Group
 	calls  *errgroup.Group
 	held   map[apjob.WorkerID]bool
+	// table is the settings that the shard has.
+	table *apqueue.Table
 
 	// storing tells that a write is under way; only one is at a time.
 	storing  bool
@@ -102,12 +103,10 @@
 	// questions wait for the advisor, which answers one at a time.
 	questions []apscheduler.Question
 	asking    bool
-	// disrupted holds the revision of each disruption of a worker.
-	disrupted map[apjob.WorkerID]apstore.Revision
+	// disrupted holds the disruptions of the pool's workers by their keys.
+	disrupted map[apfleet.Key]disruption
 	// leftAt is when the disruption of a worker ended.
 	leftAt map[apjob.WorkerID]time.Time
-	// machines holds the worker that each disruption's key names.
-	machines map[apfleet.Key]apjob.WorkerID
 	// pool is what the store says of the shard's pool.
 	pool   apmachine.Pool
 	poolAt time.Time
@@ -121,8 +120,7 @@
 		events: make(chan func(time.Time), eventQueue),
 		held:   make(map[apjob.WorkerID]bool),
 
-		disrupted: make(map[apjob.WorkerID]apstore.Revision),
-		machines:  make(map[apfleet.Key]apjob.WorkerID),
+		disrupted: make(map[apfleet.Key]disruption),
 		leftAt:    make(map[apjob.WorkerID]time.Time),
 	}
 }
@@ -182,9 +180,10 @@
 
 func (o *Owner) setQueues() {
 	table := o.config.Queues()
-	if table == nil {
+	if table == nil || table == o.table {
 		return
 	}
+	o.table = table
 	queues := make(map[apjob.Queue]apscheduler.Queue, len(table.Queues))
 	for _, q := range table.Queues {
 		queues[q.Name] = apscheduler.Queue{
--- a/internal/apowner/pool.go
+++ b/internal/apowner/pool.go
@@ -12,6 +12,12 @@
 	"auburnport/pkg/apstore"
 )
 
+// disruption is a worker that is being emptied, at a revision of the store.
+type disruption struct {
+	worker   apjob.WorkerID
+	revision apstore.Revision
+}
+
 // loadDisruptions reads which workers are being emptied, so that none of them gets a run again.
 func (o *Owner) loadDisruptions(ctx context.Context) error {
 	page, err := o.config.Ledger.Scan(ctx, apjournal.PrefixDisruptions)
@@ -41,7 +47,7 @@
 
 func (o *Owner) disrupt(update apstore.Update) {
 	if update.Reset {
-		clear(o.disrupted)
+		o.releaseUnlisted(update.Events)
 	}
 	for _, event := range update.Events {
 		if event.Removed {
@@ -54,8 +60,7 @@
 			continue
 		}
 		if d.Pool == apfleet.ServiceName(o.config.Shard) && d.Worker != "" {
-			o.disrupted[d.Worker] = event.Value.Revision
-			o.machines[event.Value.Key] = d.Worker
+			o.disrupted[event.Value.Key] = disruption{worker: d.Worker, revision: event.Value.Revision}
 		}
 	}
 	o.cordon(time.Now())
@@ -67,20 +72,30 @@
 
 // released notes the end of a disruption.
 func (o *Owner) released(key apfleet.Key) {
-	id, ok := o.machines[key]
-	if !ok {
-		return
+	if d, ok := o.disrupted[key]; ok {
+		delete(o.disrupted, key)
+		o.leftAt[d.worker] = time.Now()
+	}
+}
+
+// releaseUnlisted notes the end of the disruptions that are not among all that there are.
+func (o *Owner) releaseUnlisted(all []apstore.Event) {
+	listed := make(map[apfleet.Key]bool, len(all))
+	for _, event := range all {
+		listed[event.Value.Key] = true
+	}
+	for key := range o.disrupted {
+		if !listed[key] {
+			o.released(key)
+		}
 	}
-	delete(o.machines, key)
-	delete(o.disrupted, id)
-	o.leftAt[id] = time.Now()
 }
 
 // cordon keeps runs from workers that are disrupted, or were a moment ago.
 func (o *Owner) cordon(now time.Time) {
 	cordoned := make(map[apjob.WorkerID]bool, len(o.disrupted)+len(o.leftAt))
-	for id := range o.disrupted {
-		cordoned[id] = true
+	for _, d := range o.disrupted {
+		cordoned[d.worker] = true
 	}
 	for id, at := range o.leftAt {
 		if now.Sub(at) > afterlife {
@@ -95,9 +110,9 @@
 // account returns what the pool's owner says of it, and whether it must be stored.
 func (o *Owner) account(now time.Time) (apmachine.Pool, bool) {
 	empty := make(map[apjob.WorkerID]apstore.Revision)
-	for id, revision := range o.disrupted {
-		if o.shard.Empty(id) {
-			empty[id] = revision
+	for _, d := range o.disrupted {
+		if o.shard.Empty(d.worker) {
+			empty[d.worker] = d.revision
 		}
 	}
 	due := now.Sub(o.poolAt) >= poolGap
--- a/internal/apowner/store.go
+++ b/internal/apowner/store.go
@@ -18,8 +18,12 @@
 		o.wake(ctx, now)
 		return
 	}
-	waiting := o.shard.Waiting()
-	counted := now.Sub(o.waitingAt) >= waitingGap && !maps.Equal(waiting, o.waiting)
+	var waiting map[apjob.Queue]int
+	counted := false
+	if now.Sub(o.waitingAt) >= waitingGap {
+		waiting = o.shard.Waiting()
+		counted = !maps.Equal(waiting, o.waiting)
+	}
 	purge := o.purge()
 	pool, accounted := o.account(now)
 	if !o.shard.BatchDue() && !counted && !accounted && len(purge) == 0 {
--- a/internal/apowner/workers.go
+++ b/internal/apowner/workers.go
@@ -149,22 +149,20 @@
 }
 
 func (o *Owner) question(id apjob.WorkerID, now time.Time) question {
-	for _, target := range o.shard.Workers() {
-		if target.ID != id {
-			continue
-		}
-		order, ok := o.shard.Hold(id, now)
-		switch {
-		case order.Deadline == 0:
-		case o.shard.Busy(id):
-			order.Wait = busyHold
-		default:
-			order.Wait = idleHold
-		}
-		return question{to: target, order: order, more: ok}
+	target, ok := o.shard.Target(id)
+	if !ok {
+		delete(o.held, id)
+		return question{}
+	}
+	order, _ := o.shard.Hold(id, now)
+	switch {
+	case order.Deadline == 0:
+	case o.shard.Busy(id):
+		order.Wait = busyHold
+	default:
+		order.Wait = idleHold
 	}
-	delete(o.held, id)
-	return question{}
+	return question{to: target, order: order, more: true}
 }
 
 func (o *Owner) reported(id apjob.WorkerID, report apworker.Report, err error, asked, now time.Time) {
--- a/internal/aptrial/trial.go
+++ b/internal/aptrial/trial.go
@@ -13,6 +13,7 @@
 	"auburnport/internal/apoperator"
 	"auburnport/internal/apstandin"
 	"auburnport/pkg/apsettings"
+	"auburnport/pkg/apstore"
 )
 
 // Report is what a trial measured.
@@ -77,7 +78,7 @@
 
 // changeSettings changes the first service's deadline and waits until it is in force.
 func (c *Cluster) changeSettings(ctx context.Context, duration time.Duration, report *Report) error {
-	pause(ctx, time.Duration(changeAfter*float64(duration)))
+	apstore.Pause(ctx, time.Duration(changeAfter*float64(duration)))
 	ctx, cancel := context.WithTimeout(ctx, actionLimit)
 	defer cancel()
 	path := c.options.Settings.Services(c.options.Deployment)[0]
@@ -90,7 +91,7 @@
 
 // wave starts a maintenance wave and waits until it ends, a while longer than the load at most.
 func (c *Cluster) wave(ctx context.Context, duration time.Duration, report *Report) error {
-	pause(ctx, time.Duration(waveAfter*float64(duration)))
+	apstore.Pause(ctx, time.Duration(waveAfter*float64(duration)))
 	operator := c.Operator(0)
 	if _, err := operator.StartWave(ctx, "trial"); err != nil {
 		return err
@@ -107,7 +108,7 @@
 		if !status.Wave.Ended.IsZero() {
 			return nil
 		}
-		pause(ctx, sampleEvery)
+		apstore.Pause(ctx, sampleEvery)
 	}
 	return nil
 }
@@ -116,7 +117,7 @@
 func (c *Cluster) sample(ctx context.Context, options apload.Options, load *apload.Load, report *Report, progress io.Writer) {
 	last := time.Now()
 	for ctx.Err() == nil {
-		pause(ctx, sampleEvery)
+		apstore.Pause(ctx, sampleEvery)
 		now := time.Now()
 		status := c.entries[0].Daemon.Status()
 		for _, pool := range status.Pools {
@@ -135,13 +136,6 @@
 	_, _ = fmt.Fprintln(progress)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // Broken counts broken invariants.
 func (r Report) Broken() int { return r.Load.Broken() + r.BudgetBreaches }
 
--- a/pkg/apscheduler/apscheduler.go
+++ b/pkg/apscheduler/apscheduler.go
@@ -90,8 +90,8 @@
 	dirty []apjob.ID
 	// active holds the jobs that are not final.
 	active map[apjob.ID]*job
-	// learnt corrects estimates of durations.
-	learnt map[durationKey]*average
+	// learnt holds the mean duration of the tasks of a queue, in seconds.
+	learnt map[apjob.Queue]*average
 	events []Event
 	// advice is what is known of the workers of steps that need tickets; questions wait to be asked.
 	advice    map[apjob.StepID]*advice
@@ -122,7 +122,7 @@
 		active:  make(map[apjob.ID]*job),
 		workers: make(map[apjob.WorkerID]*worker),
 		queues:  make(map[apjob.Queue]Queue),
-		learnt:  make(map[durationKey]*average),
+		learnt:  make(map[apjob.Queue]*average),
 		advice:  make(map[apjob.StepID]*advice),
 	}
 }
--- a/pkg/apscheduler/learn.go
+++ b/pkg/apscheduler/learn.go
@@ -36,9 +36,6 @@
 	a.value += sampleWeight * (sample - a.value)
 }
 
-// durationKey groups tasks of like duration.
-type durationKey struct{ queue apjob.Queue }
-
 // health is what a worker's runs tell of it.
 type health struct {
 	// failedInRow counts failures since the last success.
@@ -83,17 +80,16 @@
 	if usual > 0 {
 		w.health.ratio.add(float64(took) / float64(usual))
 	}
-	key := durationKey{queue: j.def.Queue}
-	if s.learnt[key] == nil {
-		s.learnt[key] = &average{}
+	if s.learnt[j.def.Queue] == nil {
+		s.learnt[j.def.Queue] = &average{}
 	}
-	s.learnt[key].add(took.Seconds())
+	s.learnt[j.def.Queue].add(took.Seconds())
 }
 
 // estimate returns the expected duration of a task: the mean of the caller's guess, which is rough,
 // and of what tasks of the queue took.
 func (s *Shard) estimate(def *apjob.Job, step *apjob.Step) time.Duration {
-	learnt := s.learnt[durationKey{queue: def.Queue}]
+	learnt := s.learnt[def.Queue]
 	if learnt == nil || !learnt.known {
 		return step.Estimate
 	}
@@ -107,16 +103,7 @@
 // setDue works out when a job should be done and when it earns nothing more.
 func (s *Shard) setDue(j *job) {
 	queue := s.queues[j.def.Queue]
-	chain := make([]time.Duration, len(j.def.Steps))
-	var longest time.Duration
-	for n := range j.def.Steps {
-		step := &j.def.Steps[n]
-		for _, before := range step.After {
-			chain[n] = max(chain[n], chain[before])
-		}
-		chain[n] += s.estimate(j.def, step)
-		longest = max(longest, chain[n])
-	}
+	longest := longestChain(j.def, func(n int) time.Duration { return s.estimate(j.def, &j.def.Steps[n]) })
 	allowed := time.Duration(queue.Stretch*float64(longest)) + queue.Slack
 	j.due = j.seen.Add(allowed)
 	j.lateBy = j.seen.Add(lateFactor * allowed)
@@ -124,26 +111,36 @@
 
 // left returns the longest chain of work and the core-seconds that an occurrence still needs.
 func (s *Shard) left(j *job, occurrence *apjob.Occurrence) (time.Duration, float64) {
-	chain := make([]time.Duration, len(j.def.Steps))
-	var longest time.Duration
 	work := 0.0
-	for n := range j.def.Steps {
-		step := &j.def.Steps[n]
-		for _, before := range step.After {
-			chain[n] = max(chain[n], chain[before])
-		}
+	longest := longestChain(j.def, func(n int) time.Duration {
 		undone := 0
 		for k := range occurrence.Steps[n] {
 			if !occurrence.Steps[n][k].Done {
 				undone++
 			}
 		}
-		if undone > 0 {
-			took := s.estimate(j.def, step)
-			chain[n] += took
-			work += float64(undone) * took.Seconds() * float64(step.Need.CPU) / 1000
+		if undone == 0 {
+			return 0
 		}
+		step := &j.def.Steps[n]
+		took := s.estimate(j.def, step)
+		work += float64(undone) * took.Seconds() * float64(step.Need.CPU) / 1000
+		return took
+	})
+	return longest, work
+}
+
+// longestChain returns the longest time through the steps of a job, each of which takes a time. It asks
+// for the time of each step once.
+func longestChain(def *apjob.Job, takes func(step int) time.Duration) time.Duration {
+	chain := make([]time.Duration, len(def.Steps))
+	var longest time.Duration
+	for n := range def.Steps {
+		for _, before := range def.Steps[n].After {
+			chain[n] = max(chain[n], chain[before])
+		}
+		chain[n] += takes(n)
 		longest = max(longest, chain[n])
 	}
-	return longest, work
+	return longest
 }
--- a/pkg/apscheduler/worker.go
+++ b/pkg/apscheduler/worker.go
@@ -152,13 +152,27 @@
 func (s *Shard) Workers() []apworker.Target {
 	var targets []apworker.Target
 	for _, w := range s.workers {
-		if w.info.Address.IsValid() && (w.registered || len(w.occupants) > 0) {
+		if w.wanted() {
 			targets = append(targets, w.target())
 		}
 	}
 	return targets
 }
 
+// wanted reports whether a worker must be held.
+func (w *worker) wanted() bool {
+	return w.info.Address.IsValid() && (w.registered || len(w.occupants) > 0)
+}
+
+// Target returns where a worker that must be held is.
+func (s *Shard) Target(id apjob.WorkerID) (apworker.Target, bool) {
+	w, ok := s.workers[id]
+	if !ok || !w.wanted() {
+		return apworker.Target{}, false
+	}
+	return w.target(), true
+}
+
 // Hold returns the order that extends a worker's lease at this moment.
 func (s *Shard) Hold(id apjob.WorkerID, now time.Time) (apworker.HoldOrder, bool) {
 	w, ok := s.workers[id]
--- a/pkg/apstore/apstore.go
+++ b/pkg/apstore/apstore.go
@@ -26,6 +26,11 @@
 	// Watch waits until a value under prefix has a revision above after, and returns all such
 	// values; it returns an empty page when wait has passed. Errors: StoreUnavailable.
 	Watch(ctx context.Context, prefix apfleet.Key, after Revision, wait time.Duration) (Page, error)
+	Leases
+}
+
+// Leases grants, renews and ends leases.
+type Leases interface {
 	// Grant returns a new lease that lapses unless renewed within ttl.
 	// Errors: StoreUnavailable, StoreUnknown.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
--- a/pkg/apstore/client.go
+++ b/pkg/apstore/client.go
@@ -156,7 +156,7 @@
 		default:
 			return 0, err
 		}
-		if !sleep(ctx, jitter(delay)) {
+		if !Pause(ctx, jitter(delay)) {
 			break
 		}
 		delay *= 2
@@ -175,7 +175,7 @@
 		if err == nil {
 			return settledRevision(value, operation, conflict)
 		}
-		if !sleep(ctx, jitter(delay)) {
+		if !Pause(ctx, jitter(delay)) {
 			break
 		}
 		delay *= 2
@@ -208,15 +208,3 @@
 	}
 	return time.Duration(half + n.Int64())
 }
-
-// sleep waits for d and reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pkg/apstore/ledger.go
+++ b/pkg/apstore/ledger.go
@@ -24,13 +24,7 @@
 	// Follow waits until something under prefix changes after a revision. Errors:
 	// StoreUnavailable, StoreHistoryLost.
 	Follow(ctx context.Context, prefix apfleet.Key, after Revision, wait time.Duration) (Feed, error)
-	// Grant returns a new lease that lapses unless renewed within ttl.
-	// Errors: StoreUnavailable, StoreUnknown.
-	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
-	// Renew extends a lease by its ttl. Errors: LeaseLost, StoreUnavailable, StoreUnknown.
-	Renew(ctx context.Context, lease LeaseID) error
-	// Revoke ends a lease and deletes the keys attached to it. Errors: as Renew.
-	Revoke(ctx context.Context, lease LeaseID) error
+	Leases
 }
 
 // Condition is a key with the revision that it must have; 0 means absent.
--- a/pkg/apstore/memory/ledger.go
+++ b/pkg/apstore/memory/ledger.go
@@ -1,7 +1,6 @@
 package memory
 
 import (
-	"bytes"
 	"context"
 	"slices"
 	"time"
@@ -52,9 +51,7 @@
 	}
 	s.revision++
 	for _, put := range t.Puts {
-		value := apstore.Value{Key: put.Key, Revision: s.revision, Data: bytes.Clone(put.Data)}
-		s.rows[put.Key] = row{value: value, lease: put.Lease}
-		delete(s.removed, put.Key)
+		s.put(put.Key, put.Data, put.Lease)
 	}
 	for _, key := range t.Removals {
 		if _, ok := s.rows[key]; ok {
@@ -67,32 +64,16 @@
 
 // Follow implements apstore.Ledger.
 func (l Ledger) Follow(ctx context.Context, prefix apfleet.Key, after apstore.Revision, wait time.Duration) (apstore.Feed, error) {
-	s := l.Store
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	s.mu.Lock()
-	s.calls.Watches++
-	s.mu.Unlock()
-	for {
-		s.mu.Lock()
-		s.expire()
-		feed, lost := s.feed(prefix, after)
-		changed := s.changed
-		s.mu.Unlock()
-		if lost {
-			return feed, apcode.Errorf(apcode.StoreHistoryLost, "watch %s: revision %d is no longer kept", prefix, after)
-		}
-		if len(feed.Events) > 0 {
-			return feed, nil
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return feed, nil
-		case <-ctx.Done():
-			return feed, apcode.Wrapf(apcode.StoreUnavailable, ctx.Err(), "watch %s", prefix)
-		}
+	var feed apstore.Feed
+	lost := false
+	err := l.await(ctx, prefix, wait, func() bool {
+		feed, lost = l.feed(prefix, after)
+		return lost || len(feed.Events) > 0
+	})
+	if lost {
+		return feed, apcode.Errorf(apcode.StoreHistoryLost, "watch %s: revision %d is no longer kept", prefix, after)
 	}
+	return feed, err
 }
 
 // Compact drops the history: a watch from an earlier revision fails.
--- a/pkg/apstore/memory/memory.go
+++ b/pkg/apstore/memory/memory.go
@@ -100,15 +100,24 @@
 		return 0, apcode.Errorf(apcode.StoreConflict, "key %s is at revision %d, not %d", write.Key, present, write.Expected)
 	}
 	s.revision++
-	value := apstore.Value{Key: write.Key, Revision: s.revision, Data: bytes.Clone(write.Data)}
-	s.rows[write.Key] = row{value: value, lease: write.Lease}
-	delete(s.removed, write.Key)
+	s.put(write.Key, write.Data, write.Lease)
 	s.notify()
 	return s.revision, nil
 }
 
 // Watch implements apstore.Store.
 func (s *Store) Watch(ctx context.Context, prefix apfleet.Key, after apstore.Revision, wait time.Duration) (apstore.Page, error) {
+	var page apstore.Page
+	err := s.await(ctx, prefix, wait, func() bool {
+		page = s.page(prefix, after)
+		return len(page.Values) > 0
+	})
+	return page, err
+}
+
+// await calls look under the lock, at first and after every change, until it returns true or wait has
+// passed. Errors: StoreUnavailable when ctx ends.
+func (s *Store) await(ctx context.Context, prefix apfleet.Key, wait time.Duration, look func() bool) error {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	s.mu.Lock()
@@ -117,22 +126,29 @@
 	for {
 		s.mu.Lock()
 		s.expire()
-		page := s.page(prefix, after)
+		found := look()
 		changed := s.changed
 		s.mu.Unlock()
-		if len(page.Values) > 0 {
-			return page, nil
+		if found {
+			return nil
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return page, nil
+			return nil
 		case <-ctx.Done():
-			return page, apcode.Wrapf(apcode.StoreUnavailable, ctx.Err(), "watch %s", prefix)
+			return apcode.Wrapf(apcode.StoreUnavailable, ctx.Err(), "watch %s", prefix)
 		}
 	}
 }
 
+// put writes a key at the store's present revision.
+func (s *Store) put(key apfleet.Key, data []byte, lease apstore.LeaseID) {
+	value := apstore.Value{Key: key, Revision: s.revision, Data: bytes.Clone(data)}
+	s.rows[key] = row{value: value, lease: lease}
+	delete(s.removed, key)
+}
+
 // Grant implements apstore.Store.
 func (s *Store) Grant(_ context.Context, ttl time.Duration) (apstore.LeaseID, error) {
 	s.mu.Lock()
--- a/pkg/apstore/tail.go
+++ b/pkg/apstore/tail.go
@@ -70,15 +70,17 @@
 	}
 }
 
-// Pause waits until a time has passed or ctx ends.
-func Pause(ctx context.Context, d time.Duration) {
+// Pause waits until a time has passed, and reports false when ctx ended first.
+func Pause(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
-		return
+		return ctx.Err() == nil
 	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+		return true
 	case <-ctx.Done():
+		return false
 	}
 }
