Controller: disruptions of one step are stored in one transaction

Cause, found by reading: a step of 23 disruptions and the end of another wave makes 25 changes; the write was split, and all disruptions were noted at the second part's revision. The pool's word that their workers are empty then never matched, until the next holder. Change: a step takes no action that could make its write larger than a transaction. Test: TestDisruptionsAreKnownAtTheirRevision failed first (0 of 23 machines maintained).

--- a/internal/apcontroller/apcontroller.go
+++ b/internal/apcontroller/apcontroller.go
@@ -69,6 +69,8 @@
 	maxStepOrders = 48
 	// maxChanges bounds the changes of one transaction.
 	maxChanges = 24
+	// actionChanges is the most that one action changes: the end of a wave writes two keys.
+	actionChanges = 2
 )
 
 // Controller runs the shard of machines. Use New.
--- a/internal/apcontroller/apcontroller_test.go
+++ b/internal/apcontroller/apcontroller_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"auburnport/internal/apcontroller"
@@ -91,7 +92,7 @@
 	return apfleet.Key(fmt.Sprintf("done/%d", n)), []byte(fmt.Sprint(completed)), nil
 }
 
-func control(t *testing.T, ctx context.Context, ledger apstore.Ledger, f *fleet, w waves, holder apfleet.EntryName) error {
+func control(t *testing.T, ctx context.Context, ledger apstore.Ledger, f *fleet, w apcontroller.Waves, holder apfleet.EntryName) error {
 	t.Helper()
 	journal, err := apjournal.Claim(ctx, ledger, apjournal.Machines, holder, 0)
 	assert.NilError(t, err)
@@ -133,3 +134,59 @@
 		assert.Equal(t, string(status.Data), "true")
 	})
 }
+
+// twoWaves reads the wave that its value names.
+type twoWaves struct {
+	waves
+	first, second apmachine.Wave
+}
+
+func (w twoWaves) Parse(data []byte) (apmachine.Wave, error) {
+	if data[0] == 1 {
+		return w.first, nil
+	}
+	return w.second, nil
+}
+
+// A step that opens 23 disruptions and completes another wave has 25 changes, one more than fits a
+// transaction of the controller. Each disruption must still be known at the revision at which it was
+// stored, or the pool's word that the worker is empty is never believed.
+func TestDisruptionsAreKnownAtTheirRevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ledger := memory.Ledger{Store: memory.New()}
+		f := newFleet(92)
+		w := twoWaves{first: apmachine.Wave{Number: 1, MaxCount: 23}, second: apmachine.Wave{Number: 2, MaxCount: 1}}
+		for i := range f.machines {
+			m := &f.machines[i]
+			m.Pool, m.Worker = "pool", apjob.WorkerID("i-"+m.Name)
+			if i < 23 {
+				w.first.Machines = append(w.first.Machines, m.Name)
+			}
+		}
+		_, err := ledger.Commit(t.Context(), apstore.Transaction{Puts: []apstore.Put{{Key: "waves/1", Data: []byte{1}}, {Key: "waves/2", Data: []byte{2}}}})
+		assert.NilError(t, err)
+		ctx, stop := context.WithTimeout(t.Context(), 5*time.Second)
+		defer stop()
+		group := &errgroup.Group{}
+		group.Go(func() error { return emptyAll(ctx, ledger) })
+		assert.NilError(t, control(t, ctx, ledger, f, w, "a"))
+		assert.NilError(t, group.Wait())
+		assert.Equal(t, len(f.done), 23)
+	})
+}
+
+// emptyAll stands in for a pool's owner whose disrupted workers are empty at once.
+func emptyAll(ctx context.Context, ledger apstore.Ledger) error {
+	empty := make(map[apjob.WorkerID]apstore.Revision)
+	tail := apstore.Tail{Ledger: ledger, Prefix: apjournal.PrefixDisruptions, Wait: time.Second}
+	return tail.Run(ctx, func(update apstore.Update) {
+		for _, event := range update.Events {
+			var d apmachine.Disruption
+			if !event.Removed && apfleet.Decode(event.Value.Data, &d) == nil {
+				empty[d.Worker] = event.Value.Revision
+			}
+		}
+		data := apfleet.Encode(apmachine.Pool{Empty: empty})
+		_, _ = ledger.Commit(ctx, apstore.Transaction{Puts: []apstore.Put{{Key: apjournal.PrefixPools + "pool", Data: data}}})
+	})
+}
--- a/internal/apcontroller/order.go
+++ b/internal/apcontroller/order.go
@@ -47,7 +47,7 @@
 	var orders []apmachine.Disruption
 	for _, action := range actions {
 		// One transaction opens disruptions, for each carries its revision.
-		if len(write.Puts)+len(write.Removals) >= maxChanges {
+		if len(write.Puts)+len(write.Removals)+actionChanges > maxChanges {
 			break
 		}
 		switch action := action.(type) {
