Waves: evacuations find room and stay where they come to

Their long-running tasks found no room (smaller tasks took each bit; the bound for one worker kept them from the rest), went to machines that were due next, and machines that moved on after their upkeep held up the wave's end. Change: room is reserved for tasks that must leave; the controller lists the workers that await upkeep and such tasks avoid them; a pool with tasks that must leave gets machines for them; idle machines that await upkeep go to the spare pool first.

--- a/internal/apcontroller/apcontroller.go
+++ b/internal/apcontroller/apcontroller.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"auburnport/pkg/apfleet"
+	"auburnport/pkg/apjob"
 	"auburnport/pkg/apjournal"
 	"auburnport/pkg/apmachine"
 	"auburnport/pkg/apqueue"
@@ -61,6 +62,8 @@
 	watchWait    = 2 * time.Second
 	watchGap     = 150 * time.Millisecond
 	watchBackoff = 200 * time.Millisecond
+	// awaitingGap is the least time between two lists of the workers that await upkeep.
+	awaitingGap = time.Second
 	// retryGap is the pause before an order is sent again.
 	retryGap = 500 * time.Millisecond
 	// maxOrders bounds the orders under way.
@@ -90,6 +93,9 @@
 	retryAt map[apmachine.Name]time.Time
 	// waves holds the numbers behind the operators' keys.
 	waves map[apfleet.Key]int
+	// awaiting is what the store has of the workers that await upkeep, and when it was written.
+	awaiting   map[apfleet.ServiceName][]apjob.WorkerID
+	awaitingAt time.Time
 	// logged is the size and the need of each pool in the last line about it.
 	logged map[apfleet.ServiceName][2]int
 }
@@ -100,7 +106,8 @@
 		config: config, events: make(chan func(), 64),
 		inherited: make(map[apmachine.Name]bool),
 		carried:   make(map[apmachine.Name]carried), retryAt: make(map[apmachine.Name]time.Time), waves: make(map[apfleet.Key]int),
-		logged: make(map[apfleet.ServiceName][2]int),
+		awaiting: make(map[apfleet.ServiceName][]apjob.WorkerID),
+		logged:   make(map[apfleet.ServiceName][2]int),
 		tables: apmachine.Tables{
 			Since: make(map[int]time.Time), Finished: make(map[int]apmachine.Finished),
 			Disruptions: make(map[apmachine.Name]apmachine.Disruption), Pools: make(map[apfleet.ServiceName]apmachine.Pool),
@@ -140,11 +147,19 @@
 const releaseTime = time.Second
 
 func (c *Controller) load(ctx context.Context) error {
-	disruptions, err := c.config.Ledger.Scan(ctx, apjournal.PrefixDisruptions)
+	control, err := c.config.Ledger.Scan(ctx, apjournal.PrefixControl)
 	if err != nil {
 		return err
 	}
-	for _, value := range disruptions.Values {
+	for _, value := range control.Values {
+		if pool, ok := apjournal.AwaitingOf(value.Key); ok {
+			var awaiting apmachine.Awaiting
+			if err := apfleet.Decode(value.Data, &awaiting); err != nil {
+				c.config.Log("AwaitingUnreadable", map[string]any{"Key": value.Key, "Error": err})
+			}
+			c.awaiting[pool] = awaiting.Workers
+			continue
+		}
 		var d apmachine.Disruption
 		if err := apfleet.Decode(value.Data, &d); err != nil {
 			c.config.Log("DisruptionUnreadable", map[string]any{"Key": value.Key, "Error": err})
@@ -236,9 +251,34 @@
 	}
 	actions := apmachine.Plan(&c.tables)
 	c.logWants()
+	if err := c.announce(ctx, now); err != nil {
+		return err
+	}
 	return c.execute(ctx, actions, now)
 }
 
+// announce tells the pools which of their workers await upkeep, so that long-running tasks that are moved
+// stay where they come to.
+func (c *Controller) announce(ctx context.Context, now time.Time) error {
+	if now.Sub(c.awaitingAt) < awaitingGap {
+		return nil
+	}
+	var write apjournal.Write
+	for pool, workers := range c.tables.AwaitingWorkers() {
+		if slices.Equal(workers, c.awaiting[pool]) {
+			continue
+		}
+		c.awaiting[pool] = workers
+		data := apfleet.Encode(apmachine.Awaiting{Workers: workers})
+		write.Puts = append(write.Puts, apstore.Put{Key: apjournal.PrefixAwaiting + apfleet.Key(pool), Data: data})
+	}
+	if len(write.Puts) == 0 {
+		return nil
+	}
+	c.awaitingAt = now
+	return c.write(ctx, write)
+}
+
 // logWants writes a line for each pool whose size or need has changed.
 func (c *Controller) logWants() {
 	for pool, want := range c.tables.Wants {
--- a/internal/apowner/pool.go
+++ b/internal/apowner/pool.go
@@ -20,7 +20,7 @@
 
 // loadDisruptions reads which workers are being emptied, so that none of them gets a run again.
 func (o *Owner) loadDisruptions(ctx context.Context) error {
-	page, err := o.config.Ledger.Scan(ctx, apjournal.PrefixDisruptions)
+	page, err := o.config.Ledger.Scan(ctx, apjournal.PrefixControl)
 	if err != nil {
 		return err
 	}
@@ -34,7 +34,7 @@
 
 // followDisruptions passes changes of the disruptions to the loop.
 func (o *Owner) followDisruptions(ctx context.Context) error {
-	tail := apstore.Tail{Ledger: o.config.Ledger, Prefix: apjournal.PrefixDisruptions, Wait: watchWait, Gap: disruptionGap, Backoff: watchBackoff}
+	tail := apstore.Tail{Ledger: o.config.Ledger, Prefix: apjournal.PrefixControl, Wait: watchWait, Gap: disruptionGap, Backoff: watchBackoff}
 	return tail.Run(ctx, func(update apstore.Update) {
 		if update.Err == nil {
 			o.post(ctx, func(time.Time) { o.disrupt(update) })
@@ -50,6 +50,10 @@
 		o.releaseUnlisted(update.Events)
 	}
 	for _, event := range update.Events {
+		if pool, ok := apjournal.AwaitingOf(event.Value.Key); ok {
+			o.await(pool, event)
+			continue
+		}
 		if event.Removed {
 			o.released(event.Value.Key)
 			continue
@@ -66,6 +70,20 @@
 	o.cordon(time.Now())
 }
 
+// await notes which of the pool's workers will be emptied for a wave.
+func (o *Owner) await(pool apfleet.ServiceName, event apstore.Event) {
+	if pool != apfleet.ServiceName(o.config.Shard) {
+		return
+	}
+	var awaiting apmachine.Awaiting
+	if !event.Removed {
+		if err := apfleet.Decode(event.Value.Data, &awaiting); err != nil {
+			o.config.Log("AwaitingUnreadable", map[string]any{"Key": event.Value.Key, "Error": err})
+		}
+	}
+	o.shard.Avoid(awaiting.Workers)
+}
+
 // afterlife is how long a worker stays cordoned after its disruption has ended: its machine has been
 // ordered away, and its registration goes within some heartbeats.
 const afterlife = 6 * time.Second
--- a/pkg/apjournal/apjournal.go
+++ b/pkg/apjournal/apjournal.go
@@ -33,6 +33,12 @@
 // OwnerKey returns the key under which a shard is owned.
 func OwnerKey(shard Shard) apfleet.Key { return prefixOwners + apfleet.Key(shard) }
 
+// AwaitingOf returns the pool that a key under PrefixAwaiting names.
+func AwaitingOf(key apfleet.Key) (apfleet.ServiceName, bool) {
+	pool, ok := strings.CutPrefix(string(key), string(PrefixAwaiting))
+	return apfleet.ServiceName(pool), ok
+}
+
 // EntryOf returns the entry that a key under PrefixMembers names.
 func EntryOf(key apfleet.Key) (apfleet.EntryName, bool) {
 	name, ok := strings.CutPrefix(string(key), string(prefixEntries))
@@ -71,8 +77,12 @@
 
 // Prefixes of what the controller of machines and the owners of pools tell each other.
 const (
+	// PrefixControl holds what the controller tells the owners of pools.
+	PrefixControl apfleet.Key = prefix + "control/"
 	// PrefixDisruptions holds the machines that are being emptied.
-	PrefixDisruptions apfleet.Key = prefix + "disruption/"
+	PrefixDisruptions = PrefixControl + "disruption/"
+	// PrefixAwaiting holds, for each pool, the workers whose machines will be emptied for a wave.
+	PrefixAwaiting = PrefixControl + "awaiting/"
 	// PrefixPools holds what each pool's owner says of it.
 	PrefixPools apfleet.Key = prefix + "pool/"
 	// PrefixWaves holds how far each wave is.
--- a/pkg/apmachine/apmachine.go
+++ b/pkg/apmachine/apmachine.go
@@ -89,13 +89,21 @@
 	Queued int64 `cbor:"Queued"`
 	// Widest is how many workers the widest long-running step needs.
 	Widest int `cbor:"Widest"`
-	// Homeless counts the long-running tasks that wait for a place.
+	// Homeless counts the long-running tasks that wait for a place, also those that must leave theirs.
 	Homeless int `cbor:"Homeless"`
 }
 
 // Check accepts every pool.
 func (p Pool) Check() error { return nil }
 
+// Awaiting lists the workers of a pool whose machines will be emptied for a wave of upkeep.
+type Awaiting struct {
+	Workers []apjob.WorkerID `cbor:"Workers"`
+}
+
+// Check accepts every list.
+func (a Awaiting) Check() error { return nil }
+
 // Finished lists the machines of a wave whose upkeep has begun.
 type Finished struct {
 	Machines []Name `cbor:"Machines"`
@@ -124,6 +132,8 @@
 	Pools       map[apfleet.ServiceName]Pool
 	// UpSince is when a machine was first listed as up in its present life.
 	UpSince map[Name]time.Time
+	// Awaiting holds the machines that a wave has not maintained yet.
+	Awaiting map[Name]bool
 	// Wants and Sizes are kept from decision to decision.
 	Wants map[apfleet.ServiceName]Want
 	Sizes map[apfleet.ServiceName]int
--- a/pkg/apmachine/balance.go
+++ b/pkg/apmachine/balance.go
@@ -30,6 +30,9 @@
 	takeover = 300 * time.Millisecond
 	// emptyingShare is the part of all machines, as a divisor, that may be emptied at once.
 	emptyingShare = 3
+	// homelessShare is how many long-running tasks without a place share a machine that is brought for
+	// them: a machine takes a few of a step, and one that turns out to be too many goes back.
+	homelessShare = 3
 	// idleShare is the part of a machine, as a divisor, that may still be used when it is shed without
 	// need.
 	idleShare = 3
@@ -148,14 +151,31 @@
 		used += cpu
 	}
 	work := headroom*float64(used) + float64(p.Queued)/horizon.Seconds()
-	least := max(floor, p.Widest)
-	if p.Homeless > 0 {
-		// Bounds for one worker can keep a task from all that there are.
-		least = max(least, len(p.Used)+1)
+	least := floor
+	if p.Widest > 0 {
+		// Tasks that leave a machine for its upkeep need another one meanwhile.
+		away := t.inUpkeep(pool)
+		least = max(least, p.Widest+away)
+		if p.Homeless > 0 {
+			// Bounds for one worker can keep a task from all that there are.
+			least = max(least, len(p.Used)+away+(p.Homeless+homelessShare-1)/homelessShare)
+		}
 	}
 	return need{least: least, machines: max(least, int(math.Ceil(work/t.typicalCPU())))}
 }
 
+// inUpkeep counts the machines of a pool that are being emptied for upkeep or are down for it.
+func (t *Tables) inUpkeep(pool apfleet.ServiceName) int {
+	n := 0
+	for _, m := range t.Machines {
+		d, disrupted := t.Disruptions[m.Name]
+		if m.Pool == pool && (m.State == StateUpkeep || disrupted && d.Kind == KindUpkeep) {
+			n++
+		}
+	}
+	return n
+}
+
 // typicalCPU returns the mean capacity of a machine, in thousandths of a core.
 func (t *Tables) typicalCPU() float64 {
 	sum, n := 0.0, 0
@@ -202,7 +222,8 @@
 	}
 }
 
-// spareMachines returns the machines that any pool may have.
+// spareMachines returns the machines that any pool may have. Those that await upkeep come last: it costs
+// nothing while they are spare.
 func (t *Tables) spareMachines() []Machine {
 	var spare []Machine
 	for _, m := range t.Machines {
@@ -210,9 +231,22 @@
 			spare = append(spare, m)
 		}
 	}
+	slices.SortStableFunc(spare, func(a, b Machine) int { return compareBool(t.Awaiting[a.Name], t.Awaiting[b.Name]) })
 	return spare
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // poolNames returns the pools that run tasks.
 func (t *Tables) poolNames() []apfleet.ServiceName {
 	pools := make([]apfleet.ServiceName, 0, len(t.Pools))
@@ -239,7 +273,8 @@
 		}
 	}
 	slices.SortFunc(movable, func(a, b Machine) int {
-		return cmp.Or(cmp.Compare(p.Used[a.Worker], p.Used[b.Worker]), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(p.Used[a.Worker], p.Used[b.Worker]),
+			compareBool(t.Awaiting[b.Name], t.Awaiting[a.Name]), cmp.Compare(a.Name, b.Name))
 	})
 	var actions []Action
 	for _, m := range movable[:max(0, min(surplus, len(movable)))] {
--- a/pkg/apmachine/wave.go
+++ b/pkg/apmachine/wave.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"auburnport/pkg/apfleet"
+	"auburnport/pkg/apjob"
 )
 
 const (
@@ -20,8 +21,8 @@
 
 // Plan returns the next actions of all waves and moves.
 func Plan(t *Tables) []Action {
-	var actions []Action
-	actions = append(actions, carry(t)...)
+	t.Awaiting = awaiting(t)
+	actions := carry(t)
 	for _, wave := range t.Waves {
 		actions = append(actions, maintain(t, wave)...)
 	}
@@ -51,6 +52,42 @@
 	return ok && revision == d.Revision
 }
 
+// awaiting returns the machines that the waves have not maintained yet.
+func awaiting(t *Tables) map[Name]bool {
+	names := make(map[Name]bool)
+	for _, wave := range t.Waves {
+		finished := t.Finished[wave.Number]
+		if finished.Completed {
+			continue
+		}
+		for _, name := range wave.Machines {
+			names[name] = true
+		}
+		for _, name := range finished.Machines {
+			delete(names, name)
+		}
+	}
+	return names
+}
+
+// AwaitingWorkers returns, for each pool but the spare one, the workers whose machines will be emptied for a
+// wave, sorted.
+func (t *Tables) AwaitingWorkers() map[apfleet.ServiceName][]apjob.WorkerID {
+	workers := make(map[apfleet.ServiceName][]apjob.WorkerID, len(t.Pools))
+	for pool := range t.Pools {
+		workers[pool] = nil
+	}
+	for _, m := range t.Machines {
+		if m.Pool != t.Spare && m.State == StateUp && t.Awaiting[m.Name] {
+			workers[m.Pool] = append(workers[m.Pool], m.Worker)
+		}
+	}
+	for _, ids := range workers {
+		slices.Sort(ids)
+	}
+	return workers
+}
+
 // maintain opens the next disruptions of a wave. It goes no faster than the wave's time asks for, so
 // that the pools keep their capacity.
 func maintain(t *Tables, wave Wave) []Action {
@@ -64,7 +101,8 @@
 		switch {
 		case !listed:
 			// A machine that has left for good needs no upkeep.
-		case done && m.State == StateUp:
+		case done && m.State != StateUpkeep:
+			// Its upkeep has ended, or it has failed or moved on since.
 		case done, disrupted && t.Disruptions[name].Kind == KindUpkeep:
 			down++
 		case m.State == StateUp && !disrupted:
--- a/pkg/apscheduler/apscheduler.go
+++ b/pkg/apscheduler/apscheduler.go
@@ -84,8 +84,12 @@
 	jobs    map[apjob.ID]*job
 	workers map[apjob.WorkerID]*worker
 	queues  map[apjob.Queue]Queue
-	// cordoned workers get no new runs and are emptied.
-	cordoned map[apjob.WorkerID]bool
+	// cordoned workers get no new runs and are emptied, in the order of the numbers; cordons is the
+	// highest.
+	cordoned map[apjob.WorkerID]int
+	cordons  int
+	// avoided workers will be emptied soon: long-running tasks go elsewhere if they can.
+	avoided map[apjob.WorkerID]bool
 	// dirty lists the jobs whose progress is not stored yet, oldest first.
 	dirty []apjob.ID
 	// active holds the jobs that are not final.
--- a/pkg/apscheduler/evacuate.go
+++ b/pkg/apscheduler/evacuate.go
@@ -1,6 +1,8 @@
 package apscheduler
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"auburnport/pkg/apjob"
@@ -13,41 +15,100 @@
 // on sound workers before, for a run that its predecessor is stopping looks like one at work.
 const oldStops = time.Second
 
+// Why a task on a leaving worker is not evacuated yet.
+const (
+	waitsRoom  = "NoRoom"
+	waitsTasks = "TasksAway"
+)
+
+// maxReserving is the part of the open workers, as a divisor, that evacuations may reserve.
+const maxReserving = 8
+
 // evacuate stops long-running tasks on workers that leave or are cordoned, so that they go on
 // elsewhere. Other tasks run to their end. On a sound worker a task is stopped only while the step
-// can do without it and there is room for it.
-func (s *Shard) evacuate(open []*worker, now time.Time) {
-	for id, w := range s.workers {
-		if !w.info.Draining && !s.cordoned[id] {
+// can do without it and there is room for it. It returns the open workers less those that are reserved for
+// tasks that found no room: under a burst smaller tasks take what is freed, and the worker would never be
+// emptied. Workers are emptied in the order in which that was asked for, so that the first are ready soon.
+func (s *Shard) evacuate(open []*worker, now time.Time) []*worker {
+	reserving := (len(open) + maxReserving - 1) / maxReserving
+	for _, w := range s.leavingWorkers() {
+		for _, run := range w.lastingRuns(s) {
+			reserved := s.evacuateRun(w, run, open, now)
+			if reserved != nil && reserving > 0 {
+				reserving--
+				open = without(open, reserved)
+			}
+		}
+	}
+	return open
+}
+
+// leavingWorkers returns the workers that drain or are cordoned and hold runs; those that leave by
+// themselves come first.
+func (s *Shard) leavingWorkers() []*worker {
+	var leaving []*worker
+	for _, w := range s.workers {
+		if len(w.occupants) > 0 && s.leaving(w) {
+			leaving = append(leaving, w)
+		}
+	}
+	slices.SortFunc(leaving, func(a, b *worker) int {
+		return cmp.Or(compareBool(b.info.Draining, a.info.Draining), cmp.Compare(s.cordoned[a.info.ID], s.cordoned[b.info.ID]), cmp.Compare(a.info.ID, b.info.ID))
+	})
+	return leaving
+}
+
+// lastingRuns returns the long-running tasks that are at work on a worker, in a fixed order.
+func (w *worker) lastingRuns(s *Shard) []apjob.RunKey {
+	var runs []apjob.RunKey
+	for run, o := range w.occupants {
+		if o.phase != phaseRunning {
 			continue
 		}
-		for run, o := range w.occupants {
-			if o.phase == phaseRunning {
-				s.evacuateRun(w, run, open, now)
-			}
+		if t, step := s.task(run.Task); t != nil && step.LongRunning && t.Run == run.Run {
+			runs = append(runs, run)
 		}
 	}
+	slices.SortFunc(runs, compareRuns)
+	return runs
 }
 
-func (s *Shard) evacuateRun(w *worker, run apjob.RunKey, open []*worker, now time.Time) {
+func compareRuns(a, b apjob.RunKey) int {
+	return cmp.Or(
+		cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Occurrence, b.Task.Occurrence),
+		cmp.Compare(a.Task.Step, b.Task.Step), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Run, b.Run),
+	)
+}
+
+// evacuateRun stops a long-running task whose step can do without it. It returns a worker to be reserved
+// when the task finds no room.
+func (s *Shard) evacuateRun(w *worker, run apjob.RunKey, open []*worker, now time.Time) *worker {
 	t, step := s.task(run.Task)
-	if t == nil || !step.LongRunning || t.Run != run.Run {
-		return
-	}
 	j := s.jobs[run.Task.Job]
 	tasks := j.occurrence(run.Task.Occurrence).Steps[run.Task.Step]
-	use := s.stepUse(j, run.Task.Occurrence, run.Task.Step, tasks)
-	if s.choose(step, use, open, nil) == nil {
-		return
-	}
 	if !w.info.Draining && now.Sub(s.since) < s.options.StopTime+oldStops {
-		return
+		return nil
 	}
-	if !w.info.Draining && s.away(run.Task, tasks, now) >= max(1, step.MaxUnavailable) {
-		return
+	if away := s.away(run.Task, tasks, now); !w.info.Draining && away >= max(1, step.MaxUnavailable) {
+		s.evacuationWaits(w, run, waitsTasks, away)
+		return nil
+	}
+	use := s.stepUse(j, run.Task.Occurrence, run.Task.Step, tasks)
+	if s.choose(step, use, open, nil) == nil {
+		s.evacuationWaits(w, run, waitsRoom, len(open))
+		return s.roomiest(step, use, open)
 	}
 	s.log("TaskEvacuated", run, w.info.ID, map[string]any{"Draining": w.info.Draining, "MaxUnavailable": step.MaxUnavailable})
 	s.stopTask(run.Task, t, now)
+	return nil
+}
+
+// evacuationWaits logs why a task is not evacuated yet, once for each reason.
+func (s *Shard) evacuationWaits(w *worker, run apjob.RunKey, why string, count int) {
+	if o := w.occupants[run]; o != nil && o.waitsFor != why {
+		o.waitsFor = why
+		s.log("EvacuationWaits", run, w.info.ID, map[string]any{"Why": why, "Count": count})
+	}
 }
 
 // away counts the other tasks of a long-running step that are not at work.
@@ -82,7 +143,7 @@
 	Queued int64
 	// Widest is how many workers the widest long-running step needs.
 	Widest int
-	// Homeless counts the long-running tasks that wait for a place.
+	// Homeless counts the long-running tasks that wait for a place, also those that must leave theirs.
 	Homeless int
 }
 
@@ -96,9 +157,14 @@
 		if s.usable(w, now) {
 			load.Used[id] = w.used.CPU
 		}
-		for run := range w.occupants {
-			if _, step := s.task(run.Task); step != nil && step.LongRunning {
-				load.Lasting[id]++
+		for run, o := range w.occupants {
+			_, step := s.task(run.Task)
+			if step == nil || !step.LongRunning {
+				continue
+			}
+			load.Lasting[id]++
+			if o.waitsFor == waitsRoom && s.leaving(w) {
+				load.Homeless++
 			}
 		}
 	}
--- a/pkg/apscheduler/evacuate_test.go
+++ b/pkg/apscheduler/evacuate_test.go
@@ -1,6 +1,7 @@
 package apscheduler_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -117,3 +118,100 @@
 		assert.Equal(t, len(stops(s.Orders(now))), want)
 	}
 }
+
+// A pool under a burst has no room for a task that must be moved, and smaller tasks take each bit that is
+// freed. The worker must be empty within the time in which a few of them end.
+func TestEvacuationFindsRoomUnderABurst(t *testing.T) {
+	s := apscheduler.New(1)
+	ids := []apjob.WorkerID{"w1", "w2"}
+	for _, id := range ids {
+		s.Register(workerInfo(id, 8000), start)
+		s.Report(id, apworker.Report{Clock: time.Second}, start, start)
+	}
+	lasting := apjob.RunKey{Task: apjob.TaskID{Job: jobID}, Run: 1}
+	s.Submit(job(apjob.Step{Count: 1, Need: apjob.Resources{CPU: 4000}, LongRunning: true, MaxUnavailable: 1}), 0, start)
+	running := map[apjob.WorkerID]map[apjob.RunKey]time.Time{"w1": {}, "w2": {}}
+	numbers := map[apjob.WorkerID]uint64{}
+	var home apjob.WorkerID
+	for passed := time.Duration(0); passed < 6*time.Second; passed += 100 * time.Millisecond {
+		now := start.Add(passed)
+		s.Submit(&apjob.Job{
+			ID: apjob.ID(fmt.Sprintf("%016x", passed)), Queue: "q", Submitted: now,
+			Steps: []apjob.Step{{Count: 4, Need: apjob.Resources{CPU: 2000}, Estimate: time.Second}},
+		}, 0, now)
+		for _, id := range ids {
+			report := apworker.Report{Clock: time.Second + passed}
+			for run, until := range running[id] {
+				if now.Before(until) {
+					report.Running = append(report.Running, apworker.Running{Run: run, Percent: 100})
+					continue
+				}
+				numbers[id]++
+				report.Ended = append(report.Ended, apworker.Ended{Number: numbers[id], Run: run, How: apworker.EndDone})
+				delete(running[id], run)
+			}
+			s.Report(id, report, now, now)
+		}
+		if passed == 2*time.Second {
+			s.Cordon(map[apjob.WorkerID]bool{home: true})
+		}
+		s.Plan(now, now)
+		storeAll(s)
+		for _, order := range s.Orders(now) {
+			switch o := order.(type) {
+			case apscheduler.Start:
+				if o.Order.Run == lasting {
+					home = o.To.ID
+				}
+				// Ends are spread, so that never more than one task's room is free.
+				running[o.To.ID][o.Order.Run] = now.Add(time.Second + time.Duration(len(running[o.To.ID]))*200*time.Millisecond)
+				if o.Order.Run.Task.Job == jobID {
+					running[o.To.ID][o.Order.Run] = now.Add(time.Hour)
+				}
+				s.Answered(o.To.ID, o.Order.Run, false, nil, now)
+			case apscheduler.Stop:
+				assert.Equal(t, o.Order.Run, lasting)
+				return
+			}
+		}
+	}
+	t.Fatal("the long-running task was not moved within 4 s")
+}
+
+// A task that is moved goes where it can stay: not to a worker that will be emptied next.
+func TestEvacuatedTaskAvoidsWorkersThatWillBeEmptied(t *testing.T) {
+	s, at := lastingWorld(t)
+	now := start.Add(2 * time.Second)
+	free := apjob.WorkerID("")
+	for _, id := range []apjob.WorkerID{"w1", "w2", "w3"} {
+		if run, ok := at[id]; ok {
+			work(s, id, run, now)
+			continue
+		}
+		free = id
+		s.Report(id, apworker.Report{Clock: 3 * time.Second}, now, now)
+	}
+	s.Register(workerInfo("w0", 4000), now)
+	s.Report("w0", apworker.Report{Clock: time.Second}, now, now)
+	s.Register(workerInfo("w9", 4000), now)
+	s.Report("w9", apworker.Report{Clock: time.Second}, now, now)
+	s.Avoid([]apjob.WorkerID{free, "w0"})
+	var home apjob.WorkerID
+	for id := range at {
+		home = id
+	}
+	s.Cordon(map[apjob.WorkerID]bool{home: true})
+	s.Plan(now, now)
+	storeAll(s)
+	assert.DeepEqual(t, stops(s.Orders(now)), []apjob.RunKey{at[home]})
+	s.Report(home, apworker.Report{Clock: 3 * time.Second, Ended: []apworker.Ended{{Number: 1, Run: at[home], How: apworker.EndStopped}}}, now, now)
+	s.Plan(now, now)
+	storeAll(s)
+	for _, order := range s.Orders(now) {
+		if o, ok := order.(apscheduler.Start); ok {
+			assert.Equal(t, o.To.ID, apjob.WorkerID("w9"))
+			return
+		}
+	}
+	t.Fatal("the task was not started again")
+}
--- a/pkg/apscheduler/place.go
+++ b/pkg/apscheduler/place.go
@@ -14,19 +14,31 @@
 func (s *Shard) reserve(open []*worker, c *candidate) []*worker {
 	step := &c.job.def.Steps[c.step]
 	use := s.stepUse(c.job, c.occurrence, c.step, c.job.occurrence(c.occurrence).Steps[c.step])
-	best := -1
-	for i, w := range open {
+	return without(open, s.roomiest(step, use, open))
+}
+
+// roomiest returns the worker with the most room among those that a task may use once they are free
+// enough, or nil.
+func (s *Shard) roomiest(step *apjob.Step, use *stepUse, open []*worker) *worker {
+	var best *worker
+	for _, w := range open {
 		if !w.info.Capacity.Fits(step.Booked()) || !allows(step, use, w) {
 			continue
 		}
-		if best < 0 || w.info.Capacity.CPU-w.used.CPU > open[best].info.Capacity.CPU-open[best].used.CPU {
-			best = i
+		if best == nil || w.info.Capacity.CPU-w.used.CPU > best.info.Capacity.CPU-best.used.CPU {
+			best = w
 		}
 	}
-	if best < 0 {
+	return best
+}
+
+// without returns the workers less one.
+func without(open []*worker, w *worker) []*worker {
+	i := slices.Index(open, w)
+	if i < 0 {
 		return open
 	}
-	return slices.Concat(open[:best], open[best+1:])
+	return slices.Concat(open[:i], open[i+1:])
 }
 
 // allows reports whether a step's label and its bound for one worker let a task run there.
@@ -237,6 +249,9 @@
 	if s.hasLasting(w) {
 		score += shareWeight
 	}
+	if s.avoided[w.info.ID] {
+		score -= leavingWeight
+	}
 	return score
 }
 
--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -70,7 +70,7 @@
 	s.throttle()
 	s.beginDue(wall)
 	open := s.openWorkers(now)
-	s.evacuate(open, now)
+	open = s.evacuate(open, now)
 	candidates := s.candidates(now)
 	if len(candidates) == 0 {
 		return
@@ -189,7 +189,7 @@
 
 // usable reports whether a worker is sound and not on its way out.
 func (s *Shard) usable(w *worker, now time.Time) bool {
-	return w.registered && w.reached && !w.info.Draining && !s.cordoned[w.info.ID] &&
+	return w.registered && w.reached && !s.leaving(w) &&
 		now.Sub(w.lastOK) <= s.options.MaxSilence && !w.health.quarantined(now)
 }
 
@@ -197,6 +197,8 @@
 const (
 	// crowdWeight keeps a step's tasks on at least lastingSpread workers.
 	crowdWeight = 8
+	// leavingWeight keeps long-running tasks from workers that will be emptied soon.
+	leavingWeight = 5
 	// shareWeight brings long-running tasks together on few workers, so that the others can be moved.
 	shareWeight = 3
 	// lastingSpread is how many workers share the tasks of a long-running step.
--- a/pkg/apscheduler/worker.go
+++ b/pkg/apscheduler/worker.go
@@ -40,6 +40,8 @@
 	percentAt    time.Time
 	checkpoint   string
 	ticket       string
+	// waitsFor is why the run is not evacuated yet, as it was logged last.
+	waitsFor string
 	// throttled tells that the run was told to stand still.
 	throttled bool
 	// unknown tells that the run's size is not known.
@@ -122,18 +124,39 @@
 
 // Cordon replaces the set of workers that get no new runs and are emptied.
 func (s *Shard) Cordon(cordoned map[apjob.WorkerID]bool) {
+	turns := make(map[apjob.WorkerID]int, len(cordoned))
 	for id := range cordoned {
-		if !s.cordoned[id] {
+		turn, known := s.cordoned[id]
+		if !known {
+			s.cordons++
+			turn = s.cordons
 			s.log("WorkerCordoned", apjob.RunKey{}, id, nil)
 		}
+		turns[id] = turn
+	}
+	s.cordoned = turns
+}
+
+// leaving reports whether a worker drains or is cordoned.
+func (s *Shard) leaving(w *worker) bool {
+	_, cordoned := s.cordoned[w.info.ID]
+	return cordoned || w.info.Draining
+}
+
+// Avoid replaces the set of workers that will be emptied soon, and get no long-running tasks while others
+// have room.
+func (s *Shard) Avoid(workers []apjob.WorkerID) {
+	s.avoided = make(map[apjob.WorkerID]bool, len(workers))
+	for _, id := range workers {
+		s.avoided[id] = true
 	}
-	s.cordoned = cordoned
 }
 
 // Empty reports whether nothing runs on a cordoned worker and nothing can start there.
 func (s *Shard) Empty(id apjob.WorkerID) bool {
 	w, ok := s.workers[id]
-	return ok && s.cordoned[id] && w.reached && len(w.occupants) == 0 && w.foreign == 0
+	_, cordoned := s.cordoned[id]
+	return ok && cordoned && w.reached && len(w.occupants) == 0 && w.foreign == 0
 }
 
 func (s *Shard) worker(id apjob.WorkerID, now time.Time) *worker {
