--- a/internal/apcommand/apcommand.go
+++ b/internal/apcommand/apcommand.go
@@ -50,6 +50,7 @@
 	a.addTry()
 	a.addBench()
 	a.addReplay()
+	a.addSoak()
 	a.addSettings()
 	a.addFleet()
 	_, err := a.kingpin.Parse(args)
--- /dev/null
+++ b/internal/apcommand/soak.go
@@ -0,0 +1,121 @@
+package apcommand
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"text/tabwriter"
+	"time"
+
+	"auburnport/internal/apsoak"
+	"auburnport/pkg/apcode"
+)
+
+// soakFlags are the flags of the command soak.
+type soakFlags struct {
+	seed     uint64
+	count    int
+	binary   string
+	dir      string
+	nodes    int
+	duration time.Duration
+	rate     float64
+	keep     bool
+	verbose  bool
+}
+
+func (a *app) addSoak() {
+	var f soakFlags
+	command := a.command(a.kingpin, "soak", "Run real entries against the emulated platform, inject faults and check what was promised.", func(ctx context.Context) error {
+		return a.soak(ctx, f)
+	})
+	command.Flag("seed", "First seed; 0 takes one from the clock.").Uint64Var(&f.seed)
+	command.Flag("count", "How many seeds to run, one after the other.").Default("1").IntVar(&f.count)
+	command.Flag("binary", "Program of an entry; without it, it is built from this repository.").StringVar(&f.binary)
+	command.Flag("dir", "Where logs go. Default: the folder for temporary files.").StringVar(&f.dir)
+	command.Flag("nodes", "Number of entries, 2 to 40.").Default("5").IntVar(&f.nodes)
+	command.Flag("duration", "How long load and faults last.").Default("20s").DurationVar(&f.duration)
+	command.Flag("rate", "Mean number of jobs a second.").Default("6").Float64Var(&f.rate)
+	command.Flag("keep", "Keep the logs also when nothing was broken.").BoolVar(&f.keep)
+	command.Flag("steps", "Print each fault when it is injected.").BoolVar(&f.verbose)
+}
+
+// Bounds of the flags: a few dozen processes are the usual size, the machine bears a few hundred.
+const (
+	minSoakNodes = 2
+	maxSoakNodes = 40
+)
+
+func (a *app) soak(ctx context.Context, f soakFlags) error {
+	if f.nodes < minSoakNodes || f.nodes > maxSoakNodes {
+		return apcode.Errorf(apcode.BadValue, "--nodes %d is not within %d to %d", f.nodes, minSoakNodes, maxSoakNodes)
+	}
+	if f.count < 1 || f.duration <= 0 || f.rate <= 0 {
+		return apcode.Errorf(apcode.BadValue, "--count, --duration and --rate must be above 0")
+	}
+	if f.seed == 0 {
+		f.seed = uint64(time.Now().UnixNano()) % 1_000_000
+	}
+	if f.binary == "" {
+		dir, err := os.MkdirTemp(f.dir, "soak-binary-")
+		if err != nil {
+			return apcode.Wrapf(apcode.BadValue, err, "folder for the program")
+		}
+		defer func() { _ = os.RemoveAll(dir) }()
+		f.binary = filepath.Join(dir, "auburnport-node")
+		build := exec.CommandContext(ctx, "go", "build", "-o", f.binary, "./cmd/auburnport-node")
+		build.Stderr = a.err
+		if err := build.Run(); err != nil {
+			return apcode.Wrapf(apcode.BadValue, err, "build auburnport-node; run this in the repository or give --binary")
+		}
+	}
+	return a.runSeeds(ctx, f)
+}
+
+// runSeeds plays the seeds and prints a row for each.
+func (a *app) runSeeds(ctx context.Context, f soakFlags) error {
+	table := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
+	broken := 0
+	_, _ = fmt.Fprintln(table, "SEED\tFAULTS\tJOBS\tACCEPTED\tREFUSED\tCOMPLETED\tFAILED\tCANCELLED\tSTARTS\tBROKEN\tLOGS")
+	for i := range f.count {
+		seed := f.seed + uint64(i)
+		soak := apsoak.New(apsoak.WithOptions(func(o *apsoak.Options) {
+			o.Seed, o.Binary, o.Dir, o.Keep, o.Nodes, o.Duration, o.Rate = seed, f.binary, f.dir, f.keep, f.nodes, f.duration, f.rate
+		}))
+		var report apsoak.Report
+		var err error
+		if f.verbose {
+			report, err = soak.Run(ctx, a.err)
+		} else {
+			report, err = soak.Run(ctx, nil)
+		}
+		if err != nil {
+			return err
+		}
+		c := report.Counts
+		_, _ = fmt.Fprintf(table, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", seed, len(report.Script), c.Jobs, c.Accepted, c.Refused,
+			c.Completed, c.Failed, c.Cancelled, c.Starts, len(report.Breaches), report.Logs)
+		if err := table.Flush(); err != nil {
+			return apcode.Wrapf(apcode.BadValue, err, "print")
+		}
+		if len(report.Breaches) > 0 {
+			broken++
+			a.printBreaches(report)
+		}
+	}
+	if broken > 0 {
+		return apcode.Errorf(apcode.InvariantBroken, "%d of %d seeds broke a promise", broken, f.count)
+	}
+	return nil
+}
+
+func (a *app) printBreaches(report apsoak.Report) {
+	for _, step := range report.Script {
+		_, _ = fmt.Fprintln(a.out, "   ", step)
+	}
+	for _, breach := range report.Breaches {
+		_, _ = fmt.Fprintln(a.out, "  broken:", breach)
+	}
+}
--- /dev/null
+++ b/internal/apsoak/inject.go
@@ -0,0 +1,164 @@
+package apsoak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"syscall"
+	"time"
+
+	"auburnport/platform/emulator"
+)
+
+const (
+	// grace lies between SIGTERM and SIGKILL, as on the users' sites.
+	grace = 6 * time.Second
+	// restartAfter is how long the platform takes to start a process again.
+	restartAfter = 300 * time.Millisecond
+	// waveDuration and waveCount are those of the waves that are asked for.
+	waveDuration = 12 * time.Second
+	waveCount    = 3
+)
+
+// inject carries one step out at its time.
+func (s *Soak) inject(ctx context.Context, step Step, progress io.Writer) error {
+	if !pause(ctx, time.Until(s.began.Add(step.At))) {
+		return nil
+	}
+	if progress != nil {
+		_, _ = fmt.Fprintln(progress, step)
+	}
+	random := rand.New(rand.NewPCG(step.Seed, 1))
+	switch step.Kind {
+	case KindKill, KindTerm, KindPause, KindRoll, KindReload:
+		return s.signal(ctx, step, random)
+	case KindLink:
+		s.onEntries(ctx, step, random, func(n *node) { n.store.set(step.Link) }, func(n *node) { n.store.set(LinkOpen) })
+	case KindStore:
+		s.onEntries(ctx, step, random,
+			func(n *node) { s.emulator.Store.Fail(n.name, step.Fault) },
+			func(n *node) { s.emulator.Store.Fail(n.name, apemulator.FaultNone) })
+	case KindCompact:
+		s.emulator.Store.Compact()
+	case KindWorkerLink, KindCrash, KindWorker:
+		s.onWorkers(ctx, step, random)
+	case KindConfig:
+		return s.configure(ctx)
+	case KindWave:
+		names := s.emulator.Fleet.Names()
+		return s.emulator.Fleet.StartWave(ctx, step.Number, pick(names, step.Share, random), waveDuration, waveCount)
+	default:
+	}
+	return nil
+}
+
+// pick draws a share of some things, at least one.
+func pick[T any](all []T, share float64, random *rand.Rand) []T {
+	n := max(1, min(len(all), int(share*float64(len(all)))))
+	var picked []T
+	for _, i := range random.Perm(len(all))[:n] {
+		picked = append(picked, all[i])
+	}
+	return picked
+}
+
+func (s *Soak) onEntries(ctx context.Context, step Step, random *rand.Rand, harm, heal func(*node)) {
+	hit := pick(s.nodes, step.Share, random)
+	for _, n := range hit {
+		harm(n)
+	}
+	pause(ctx, step.For)
+	for _, n := range hit {
+		heal(n)
+	}
+}
+
+func (s *Soak) onWorkers(ctx context.Context, step Step, random *rand.Rand) {
+	workers := s.emulator.Fleet.Workers()
+	hit := pick(slices.Sorted(maps.Keys(workers)), step.Share, random)
+	for _, name := range hit {
+		switch step.Kind {
+		case KindCrash:
+			s.emulator.Fleet.Crash(ctx, name, step.For)
+		case KindWorker:
+			s.emulator.Fleet.Afflict(name, step.Trouble)
+		default:
+			s.workers.set(workers[name], step.Link)
+		}
+	}
+	pause(ctx, step.For)
+	for _, name := range hit {
+		switch step.Kind {
+		case KindWorker:
+			s.emulator.Fleet.Afflict(name, apemulator.TroubleNone)
+		case KindWorkerLink:
+			s.workers.set(workers[name], LinkOpen)
+		default:
+		}
+	}
+}
+
+// signal ends, pauses or reloads entries.
+func (s *Soak) signal(ctx context.Context, step Step, random *rand.Rand) error {
+	hit := pick(s.nodes, step.Share, random)
+	if step.Kind == KindRoll {
+		hit = s.nodes
+	}
+	for _, n := range hit {
+		switch step.Kind {
+		case KindReload:
+			n.signal(syscall.SIGHUP)
+		case KindPause:
+			n.signal(syscall.SIGSTOP)
+		case KindKill:
+			n.signal(syscall.SIGKILL)
+		case KindTerm:
+			n.signal(syscall.SIGTERM)
+		default:
+			n.signal(syscall.SIGTERM)
+			n.stopped(ctx, grace)
+			if !pause(ctx, restartAfter) {
+				return nil
+			}
+			if err := n.ensure(); err != nil {
+				return err
+			}
+		}
+	}
+	switch step.Kind {
+	case KindPause:
+		pause(ctx, step.For)
+		for _, n := range hit {
+			n.signal(syscall.SIGCONT)
+		}
+	case KindKill, KindTerm:
+		for _, n := range hit {
+			n.stopped(ctx, grace)
+		}
+		if !pause(ctx, restartAfter) {
+			return nil
+		}
+		for _, n := range hit {
+			if err := n.ensure(); err != nil {
+				return err
+			}
+		}
+	default:
+	}
+	return nil
+}
+
+// heal ends all faults.
+func (s *Soak) heal() {
+	s.workers.heal()
+	for _, n := range s.nodes {
+		n.store.set(LinkOpen)
+		s.emulator.Store.Fail(n.name, apemulator.FaultNone)
+	}
+	for _, name := range s.emulator.Fleet.Names() {
+		s.emulator.Fleet.Afflict(name, apemulator.TroubleNone)
+	}
+}
