--- a/internal/apsoak/inject.go
+++ b/internal/apsoak/inject.go
@@ -36,7 +36,7 @@
 	case KindKill, KindTerm, KindPause, KindRoll, KindReload:
 		return s.signal(ctx, step, random)
 	case KindLink:
-		s.onEntries(ctx, step, random, func(n *node) { n.store.set(step.Link) }, func(n *node) { n.store.set(LinkOpen) })
+		s.onEntries(ctx, step, random, func(n *node) { n.store.Set(step.Link) }, func(n *node) { n.store.Set(LinkOpen) })
 	case KindStore:
 		s.onEntries(ctx, step, random,
 			func(n *node) { s.emulator.Store.Fail(n.name, step.Fault) },
@@ -155,7 +155,7 @@
 func (s *Soak) heal() {
 	s.workers.heal()
 	for _, n := range s.nodes {
-		n.store.set(LinkOpen)
+		n.store.Set(LinkOpen)
 		s.emulator.Store.Fail(n.name, apemulator.FaultNone)
 	}
 	for _, name := range s.emulator.Fleet.Names() {
--- a/internal/apsoak/node.go
+++ b/internal/apsoak/node.go
@@ -36,7 +36,7 @@
 	group    *errgroup.Group
 	callers  netip.AddrPort
 	ready    netip.AddrPort
-	store    *proxy
+	store    *Proxy
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -60,11 +60,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if n.store, err = newProxy(group, address); err != nil {
+	if n.store, err = NewProxy(group, address); err != nil {
 		return nil, err
 	}
 	n.settings = filepath.Join(dir, n.name+".conf")
-	text := e.Settings(n.name, n.callers, n.ready, portFirst, n.store.address(), machines)
+	text := e.Settings(n.name, n.callers, n.ready, portFirst, n.store.Address(), machines)
 	if err := os.WriteFile(n.settings, text, 0o600); err != nil {
 		return nil, apcode.Wrapf(apcode.BadValue, err, "settings of %s", n.name)
 	}
@@ -150,7 +150,7 @@
 		n.signal(syscall.SIGKILL)
 		<-n.exited
 	}
-	n.store.end()
+	n.store.End()
 }
 
 // isReady asks as the balancer does.
--- a/internal/apsoak/proxy.go
+++ b/internal/apsoak/proxy.go
@@ -47,8 +47,8 @@
 	return [...]string{"Open", "Delayed", "Cut", "Deaf", "Mute", "Reset", "Silenced"}[l]
 }
 
-// proxy passes connections on to one address.
-type proxy struct {
+// Proxy passes connections on to one address, through a link that may be harmed.
+type Proxy struct {
 	listener net.Listener
 	target   netip.AddrPort
 	group    *errgroup.Group
@@ -65,13 +65,14 @@
 	silenced       bool
 }
 
-func newProxy(group *errgroup.Group, target netip.AddrPort) (*proxy, error) {
+// NewProxy listens on loopback in front of an address. Errors: BadAddress.
+func NewProxy(group *errgroup.Group, target netip.AddrPort) (*Proxy, error) {
 	var config net.ListenConfig
 	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, apcode.Wrapf(apcode.BadAddress, err, "proxy")
 	}
-	p := &proxy{listener: listener, target: target, group: group, conns: make(map[*pair]bool)}
+	p := &Proxy{listener: listener, target: target, group: group, conns: make(map[*pair]bool)}
 	group.Go(func() error {
 		p.accept()
 		return nil
@@ -79,12 +80,13 @@
 	return p, nil
 }
 
-func (p *proxy) address() netip.AddrPort {
+// Address is where the proxy listens.
+func (p *Proxy) Address() netip.AddrPort {
 	return netip.MustParseAddrPort(p.listener.Addr().String())
 }
 
 // accept serves until the listener is closed.
-func (p *proxy) accept() {
+func (p *Proxy) accept() {
 	for {
 		client, err := p.listener.Accept()
 		if err != nil {
@@ -97,7 +99,7 @@
 	}
 }
 
-func (p *proxy) serve(client net.Conn) {
+func (p *Proxy) serve(client net.Conn) {
 	server, err := net.DialTimeout("tcp", p.target.String(), dialTime)
 	if err != nil {
 		reset(client)
@@ -121,7 +123,7 @@
 }
 
 // pump passes one direction on, which a link in the state held stops.
-func (p *proxy) pump(one *pair, from io.Reader, to net.Conn, held Link) {
+func (p *Proxy) pump(one *pair, from io.Reader, to net.Conn, held Link) {
 	defer one.close()
 	chunk := make([]byte, chunkBytes)
 	for {
@@ -141,7 +143,7 @@
 }
 
 // pass waits until a chunk may go on, and reports false when the proxy has ended.
-func (p *proxy) pass(one *pair, held Link) bool {
+func (p *Proxy) pass(one *pair, held Link) bool {
 	delayed := false
 	for {
 		p.mu.Lock()
@@ -161,8 +163,8 @@
 	}
 }
 
-// set changes the state of the link.
-func (p *proxy) set(link Link) {
+// Set changes the state of the link.
+func (p *Proxy) Set(link Link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.link = link
@@ -178,7 +180,8 @@
 	}
 }
 
-func (p *proxy) end() {
+// End closes the listener and every connection.
+func (p *Proxy) End() {
 	_ = p.listener.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -205,23 +208,23 @@
 type proxies struct {
 	group *errgroup.Group
 	mu    sync.Mutex
-	all   map[netip.AddrPort]*proxy
+	all   map[netip.AddrPort]*Proxy
 }
 
 func newProxies(group *errgroup.Group) *proxies {
-	return &proxies{group: group, all: make(map[netip.AddrPort]*proxy)}
+	return &proxies{group: group, all: make(map[netip.AddrPort]*Proxy)}
 }
 
 // add puts a proxy in front of an address.
 func (p *proxies) add(target netip.AddrPort) (netip.AddrPort, error) {
-	one, err := newProxy(p.group, target)
+	one, err := NewProxy(p.group, target)
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.all[one.address()] = one
-	return one.address(), nil
+	p.all[one.Address()] = one
+	return one.Address(), nil
 }
 
 // set changes the link behind an address.
@@ -229,7 +232,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if one := p.all[address]; one != nil {
-		one.set(link)
+		one.Set(link)
 	}
 }
 
@@ -238,7 +241,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, one := range p.all {
-		one.set(LinkOpen)
+		one.Set(LinkOpen)
 	}
 }
 
@@ -246,7 +249,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, one := range p.all {
-		one.end()
+		one.End()
 	}
 }
 
