Pools: machines for what will be queued when they come; waves go earlier; settings apply while running

Change: a pool whose queue has grown for two accounts gets machines for the queue that it will have; a pool's headroom is 1.1 instead of 1.25; a wave keeps 0.45 of its time in reserve; pools give account every 250 ms. Addresses and bounds of the settings file apply without a restart, also without a signal.

--- a/cmd/auburnport-node/main.go
+++ b/cmd/auburnport-node/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"golang.org/x/sync/errgroup"
@@ -24,6 +25,8 @@
 	// collectAt is the growth of the heap, in percent, at which garbage is collected.
 	collectAt = 50
 	megabyte  = 1 << 20
+	// lookEvery is how often the settings file is looked at: it may change without a signal.
+	lookEvery = 3 * time.Second
 )
 
 func main() {
@@ -58,12 +61,17 @@
 	group.Go(func() error { return lines.Run(logging, os.Stdout) })
 	node := apnode.New(settings, logger)
 	group.Go(func() error {
+		look := time.NewTicker(lookEvery)
+		defer look.Stop()
+		read := func() (apadapter.Settings, error) { return apadapter.ReadSettings(file) }
 		for {
 			select {
 			case <-logging.Done():
 				return nil
 			case <-reload:
-				node.Reload(func() (apadapter.Settings, error) { return apadapter.ReadSettings(file) })
+				node.Reload(read, true)
+			case <-look.C:
+				node.Reload(read, false)
 			}
 		}
 	})
--- a/internal/apcontroller/apcontroller.go
+++ b/internal/apcontroller/apcontroller.go
@@ -211,6 +211,7 @@
 			delete(c.tables.Pools, name)
 			continue
 		}
+		pool.SeenAt = time.Now()
 		c.tables.Pools[name] = pool
 	}
 }
--- a/internal/apnode/apnode.go
+++ b/internal/apnode/apnode.go
@@ -63,7 +63,9 @@
 
 // Node is one entry.
 type Node struct {
+	// settings are those of the start: what is listened on stays so. current are the newest.
 	settings apadapter.Settings
+	current  atomic.Pointer[apadapter.Settings]
 	logger   *logrus.Logger
 	metrics  metrics.Registry
 	store    *apadapter.Store
@@ -80,6 +82,7 @@
 // New composes an entry.
 func New(settings apadapter.Settings, logger *logrus.Logger) *Node {
 	n := &Node{settings: settings, logger: logger, metrics: metrics.NewRegistry()}
+	n.current.Store(&settings)
 	n.store = apadapter.NewStore(n.client(0), settings.Store)
 	n.workers = apadapter.NewWorkers(n.client(workerConnections))
 	n.advisorClient = n.client(1)
@@ -95,11 +98,27 @@
 	return n
 }
 
-// Reload notes that the settings file may have changed. What it holds is fixed for the life of a process,
-// so a change is logged and takes effect at the next start.
-func (n *Node) Reload(read func() (apadapter.Settings, error)) {
+// Reload applies the settings file when it has changed, and logs what it did: also without a change when
+// asked is true. Addresses of the platform apply at once, bounds to shards that are claimed from now on.
+// The name, what is listened on and the limits of the machine take a new start. A file that can't be read
+// changes nothing.
+func (n *Node) Reload(read func() (apadapter.Settings, error), asked bool) {
 	settings, err := read()
-	n.logEvent("Reload", map[string]any{"Changed": err == nil && settings != n.settings, "Error": err})
+	present := *n.current.Load()
+	changed := err == nil && settings != present
+	if !asked && !changed && err == nil {
+		return
+	}
+	fields := map[string]any{"Changed": changed, "Error": err}
+	if changed {
+		n.current.Store(&settings)
+		n.store.Move(settings.Store)
+		n.machines.Move(settings.Machines)
+		fields["Store"], fields["Machines"] = settings.Store, settings.Machines
+		fields["RestartNeeded"] = settings.Node != n.settings.Node || settings.Callers != n.settings.Callers ||
+			settings.Ready != n.settings.Ready || settings.FirstPort != n.settings.FirstPort || settings.Memory != n.settings.Memory
+	}
+	n.logEvent("Reload", fields)
 }
 
 // Run serves until ctx ends, then leaves: shards first, callers last.
@@ -227,7 +246,7 @@
 		return nil
 	}
 	var shards []apjournal.Shard
-	if n.settings.Machines.IsValid() {
+	if n.current.Load().Machines.IsValid() {
 		shards = append(shards, apjournal.Machines)
 	}
 	for _, pool := range table.Pools() {
@@ -241,7 +260,8 @@
 	if shard == apjournal.Machines {
 		return n.control(ctx, journal)
 	}
-	bounds := n.settings.Bounds
+	settings := n.current.Load()
+	bounds := settings.Bounds
 	config := apowner.Config{
 		Shard: shard, Ledger: n.store, Workers: n.workers, Registry: registry{}, Journal: journal,
 		Queues: n.table.Load, Log: n.logEvent, Observe: n.observe,
@@ -251,15 +271,15 @@
 			o.StopTime = bounds.StopTime
 		})},
 	}
-	if n.settings.Advisor.IsValid() {
-		config.Advisor = apadapter.NewAdvisor(n.advisorClient, n.settings.Advisor)
+	if settings.Advisor.IsValid() {
+		config.Advisor = apadapter.NewAdvisor(n.advisorClient, settings.Advisor)
 	}
 	return apowner.New(config).Run(ctx)
 }
 
 // control runs the shard of machines.
 func (n *Node) control(ctx context.Context, journal *apjournal.Journal) error {
-	bounds := n.settings.Bounds
+	bounds := n.current.Load().Bounds
 	return apcontroller.New(apcontroller.Config{
 		Ledger: n.store, Journal: journal, Machines: n.machines, Waves: waves{}, Queues: n.table.Load, Log: n.logEvent,
 		OrderLease: bounds.OrderLease, Away: min(bounds.Upkeep, bounds.Move),
--- a/internal/apowner/apowner.go
+++ b/internal/apowner/apowner.go
@@ -75,7 +75,7 @@
 	// waitingGap is how old the stored counts of waiting jobs may be.
 	waitingGap = time.Second
 	// poolGap is how old the stored account of the pool may be.
-	poolGap = 400 * time.Millisecond
+	poolGap = 250 * time.Millisecond
 	// eventQueue bounds the events that wait for the loop.
 	eventQueue = 1024
 	// restFactor times the length of a step is the least rest before the next one. A step costs more the
--- a/pkg/apmachine/apmachine.go
+++ b/pkg/apmachine/apmachine.go
@@ -91,6 +91,8 @@
 	Widest int `cbor:"Widest"`
 	// Homeless counts the long-running tasks that wait for a place, also those that must leave theirs.
 	Homeless int `cbor:"Homeless"`
+	// SeenAt is when the controller learnt of this account; zero when that is not known.
+	SeenAt time.Time `cbor:"-"`
 }
 
 // Check accepts every pool.
@@ -136,7 +138,9 @@
 	Awaiting map[Name]bool
 	// Wants and Sizes are kept from decision to decision.
 	Wants map[apfleet.ServiceName]Want
-	Sizes map[apfleet.ServiceName]int
+	// Trends holds how each pool's queue grows.
+	Trends map[apfleet.ServiceName]Trend
+	Sizes  map[apfleet.ServiceName]int
 }
 
 // Action is a step to be carried out.
--- a/pkg/apmachine/apmachine_test.go
+++ b/pkg/apmachine/apmachine_test.go
@@ -274,3 +274,24 @@
 	carried, _ := moves(apmachine.Plan(tables))
 	assert.Equal(t, carried["a"], 2)
 }
+
+// At the start of a turn a queue grows by 60 machines' work a second. Machines that are ordered for what is
+// queued now come two seconds late, so they are ordered for what will be queued then.
+func TestGrowingQueueGetsMachinesForWhatWillBeQueued(t *testing.T) {
+	tables := world(map[apfleet.ServiceName]int{"a": 3}, 250)
+	wanted := func(passed time.Duration, queued int64) int {
+		tables.Now = start.Add(passed)
+		pool := tables.Pools["a"]
+		pool.Queued, pool.SeenAt = queued, tables.Now
+		tables.Pools["a"] = pool
+		apmachine.Plan(tables)
+		return tables.Wants["a"].Machines
+	}
+	wanted(0, 0)
+	now := wanted(300*time.Millisecond, 600_000)
+	assert.Equal(t, now, 38, "one jump may be one large job: what is queued, within half a second")
+	assert.Equal(t, wanted(600*time.Millisecond, 1_200_000), 175, "1,200 and 2.2 s of 2,000 core-seconds a second")
+	tables.Now = start.Add(2 * time.Second)
+	apmachine.Plan(tables)
+	assert.Equal(t, tables.Wants["a"].Machines, 75, "an old trend says nothing")
+}
--- a/pkg/apmachine/balance.go
+++ b/pkg/apmachine/balance.go
@@ -14,7 +14,7 @@
 // at once, and shrinks when its turn is over or when another pool lacks more.
 const (
 	// headroom is the room that a pool keeps beyond its running tasks.
-	headroom = 1.25
+	headroom = 1.1
 	// horizon is the time within which queued work should have begun. It is shorter than a queued
 	// task may wait, for demand rises further while machines are on their way.
 	horizon = 500 * time.Millisecond
@@ -150,7 +150,8 @@
 	for _, cpu := range p.Used {
 		used += cpu
 	}
-	work := headroom*float64(used) + float64(p.Queued)/horizon.Seconds()
+	queued := max(float64(p.Queued)/horizon.Seconds(), t.forecast(pool)/forecastHorizon.Seconds())
+	work := headroom*float64(used) + queued
 	least := floor
 	if p.Widest > 0 {
 		// Tasks that leave a machine for its upkeep need another one meanwhile.
--- a/pkg/apmachine/wave.go
+++ b/pkg/apmachine/wave.go
@@ -14,7 +14,7 @@
 	// stopTime is what one machine of a wave takes: emptying it, its upkeep, and its return.
 	stopTime = 5 * time.Second
 	// reserve is the part of a wave's time that is kept for machines that are late.
-	reserve = 0.25
+	reserve = 0.45
 	// poolShare is the part of a pool that a wave empties at once at most.
 	poolShare = 0.25
 )
@@ -22,6 +22,7 @@
 // Plan returns the next actions of all waves and moves.
 func Plan(t *Tables) []Action {
 	t.Awaiting = awaiting(t)
+	t.observe()
 	actions := carry(t)
 	for _, wave := range t.Waves {
 		actions = append(actions, maintain(t, wave)...)
