Every refusal is logged with the job's id, also those of an entry without settings

Cause: an entry without current settings answered 503 without a line, so a refused job could not be traced. Change: line Refused with code and Retry-After.

--- a/internal/apintake/apintake.go
+++ b/internal/apintake/apintake.go
@@ -111,6 +111,11 @@
 
 func shardOf(queue apqueue.Queue) apjournal.Shard { return apjournal.Shard(queue.Service) }
 
+// Refused logs a request that was refused before it became a wish about a job.
+func (i *Intake) Refused(id apjob.ID, err error, retryAfter time.Duration) {
+	i.log("Refused", id, err, map[string]any{"RetryAfter": retryAfter})
+}
+
 // Submit stores a job once. It succeeds also when the job is stored already. Errors:
 // StoreUnavailable (not stored), JobUnsettled (it may have been).
 func (i *Intake) Submit(ctx context.Context, queue apqueue.Queue, job *apjob.Job) error {
