Gangs that would be lost get their room; pools ask for the scarcest resource

Change: the oldest late gang with less than 2.5 s left goes first, and workers are kept for it; a task counts as the processor time that goes with its share of the scarcest resource; JobAccepted logs sizes and schedules.

--- a/pkg/apscheduler/evacuate.go
+++ b/pkg/apscheduler/evacuate.go
@@ -137,7 +137,8 @@
 type Load struct {
 	// Lasting counts the long-running tasks of each worker.
 	Lasting map[apjob.WorkerID]int
-	// Used is the processor time booked on each worker that may get runs, in thousandths of a core.
+	// Used is the processor time booked on each worker that may get runs, in thousandths of a core. Where
+	// memory or accelerators are scarcer, it is the processor time that goes with the share of them.
 	Used map[apjob.WorkerID]int64
 	// Queued is the work that waits for room, in thousandths of a core times seconds.
 	Queued int64
@@ -155,7 +156,7 @@
 			continue
 		}
 		if s.usable(w, now) {
-			load.Used[id] = w.used.CPU
+			load.Used[id] = dominant(w.used, w.info.Capacity)
 		}
 		for run, o := range w.occupants {
 			_, step := s.task(run.Task)
@@ -168,13 +169,37 @@
 			}
 		}
 	}
+	capacity := s.capacity(now)
 	for _, j := range s.active {
-		s.addLoad(j, &load)
+		s.addLoad(j, &load, capacity)
 	}
 	return load
 }
 
-func (s *Shard) addLoad(j *job, load *Load) {
+// capacity returns that of all workers that may get runs together.
+func (s *Shard) capacity(now time.Time) apjob.Resources {
+	var sum apjob.Resources
+	for _, w := range s.workers {
+		if s.usable(w, now) {
+			sum = sum.Add(w.info.Capacity)
+		}
+	}
+	return sum
+}
+
+// dominant returns the processor time that stands for resources of a worker: that of the scarcest one.
+func dominant(r, capacity apjob.Resources) int64 {
+	cpu := r.CPU
+	if capacity.Memory > 0 {
+		cpu = max(cpu, r.Memory*capacity.CPU/capacity.Memory)
+	}
+	if capacity.GPU > 0 {
+		cpu = max(cpu, r.GPU*capacity.CPU/capacity.GPU)
+	}
+	return cpu
+}
+
+func (s *Shard) addLoad(j *job, load *Load, capacity apjob.Resources) {
 	for i := range j.progress.Occurrences {
 		for n, tasks := range j.progress.Occurrences[i].Steps {
 			step := &j.def.Steps[n]
@@ -186,7 +211,7 @@
 				}
 				continue
 			}
-			load.Queued += int64(float64(waiting) * s.estimate(j.def, step).Seconds() * float64(step.Need.CPU))
+			load.Queued += int64(float64(waiting) * s.estimate(j.def, step).Seconds() * float64(dominant(step.Booked(), capacity)))
 		}
 	}
 }
--- a/pkg/apscheduler/job.go
+++ b/pkg/apscheduler/job.go
@@ -69,10 +69,30 @@
 	j := &job{def: def, seen: now.Add(-age)}
 	s.add(j)
 	s.log("JobAccepted", apjob.RunKey{Task: apjob.TaskID{Job: def.ID}}, "", map[string]any{
-		"Queue": def.Queue, "Steps": len(def.Steps), "AgeMs": age.Milliseconds(), "Kinds": stepKinds(def),
+		"Queue": def.Queue, "Steps": len(def.Steps), "AgeMs": age.Milliseconds(), "Kinds": stepKinds(def), "Sizes": stepSizes(def), "Repeat": def.Repeat,
+		"FirstInMs": firstIn(def), "Every": def.Every,
 	})
 }
 
+// firstIn returns how long after its submission the first occurrence of a scheduled job is due, in
+// milliseconds; 0 for a job that runs at once.
+func firstIn(def *apjob.Job) int64 {
+	if def.Repeat == 0 {
+		return 0
+	}
+	return def.First.Sub(def.Submitted).Milliseconds()
+}
+
+// stepSizes lists the steps' counts and needs of a task, in thousandths of a core and megabytes, for the log.
+func stepSizes(def *apjob.Job) string {
+	var sizes []string
+	for n := range def.Steps {
+		step := &def.Steps[n]
+		sizes = append(sizes, fmt.Sprintf("%dx%d/%d%s", step.Count, step.Need.CPU, step.Need.Memory, step.Label))
+	}
+	return strings.Join(sizes, ",")
+}
+
 // stepKinds names what is special of a job's steps, for the log.
 func stepKinds(def *apjob.Job) string {
 	var kinds []string
--- a/pkg/apscheduler/place.go
+++ b/pkg/apscheduler/place.go
@@ -17,6 +17,51 @@
 	return without(open, s.roomiest(step, use, open))
 }
 
+// reserveGang takes as many workers out of those that are open as a gang needs once shorter tasks have left
+// them, the emptiest first. It takes none when all of them together are too small.
+func (s *Shard) reserveGang(open []*worker, c *candidate) []*worker {
+	step := &c.job.def.Steps[c.step]
+	use := s.stepUse(c.job, c.occurrence, c.step, c.job.occurrence(c.occurrence).Steps[c.step])
+	byRoom := slices.Clone(open)
+	slices.SortFunc(byRoom, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(a.used.CPU-a.info.Capacity.CPU, b.used.CPU-b.info.Capacity.CPU), cmp.Compare(a.info.ID, b.info.ID))
+	})
+	rest := open
+	for missing := step.Count; missing > 0; {
+		if len(byRoom) == 0 {
+			return open
+		}
+		w := byRoom[0]
+		byRoom = byRoom[1:]
+		if n := s.fitting(w, step, use); n > 0 {
+			missing -= n
+			rest = without(rest, w)
+		}
+	}
+	return rest
+}
+
+// fitting counts the tasks of a step that a worker could take if only long-running tasks stayed there.
+func (s *Shard) fitting(w *worker, step *apjob.Step, use *stepUse) int {
+	if !allows(step, use, w) {
+		return 0
+	}
+	room := w.info.Capacity
+	for run, o := range w.occupants {
+		if _, other := s.task(run.Task); other != nil && other.LongRunning {
+			room = room.Sub(o.need)
+		}
+	}
+	n := 0
+	for need := step.Booked(); n < step.Count && room.Fits(need); n++ {
+		room = room.Sub(need)
+	}
+	if step.MaxPerWorker > 0 {
+		n = min(n, step.MaxPerWorker)
+	}
+	return n
+}
+
 // roomiest returns the worker with the most room among those that a task may use once they are free
 // enough, or nil.
 func (s *Shard) roomiest(step *apjob.Step, use *stepUse, open []*worker) *worker {
--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -30,6 +30,9 @@
 const (
 	// urgencyLasting steps serve their users all the time.
 	urgencyLasting urgency = iota
+	// urgencyStarved is the oldest gang that will soon be lost: it needs all its room at once, which others
+	// take bit by bit.
+	urgencyStarved
 	// urgencyLastChance jobs are late and earn nothing unless they start now.
 	urgencyLastChance
 	// urgencyOnTime jobs can still be done in time.
@@ -75,16 +78,48 @@
 	if len(candidates) == 0 {
 		return
 	}
+	promoteGang(candidates)
 	slices.SortFunc(candidates, compareCandidates)
 	for i := range candidates {
 		if len(open) == 0 {
 			return
 		}
 		c := &candidates[i]
-		if complete := s.placeStep(c, open, now); !complete && c.urgency == urgencyLasting {
+		if s.placeStep(c, open, now) {
+			continue
+		}
+		switch c.urgency {
+		case urgencyLasting:
 			open = s.reserve(open, c)
+		case urgencyStarved:
+			open = s.reserveGang(open, c)
+		default:
+		}
+	}
+}
+
+// gangChance is the laxity below which a late gang goes first: the time until enough short tasks have left
+// the workers that are kept for it.
+const gangChance = 2500 * time.Millisecond
+
+// promoteGang lets the oldest late gang go first that would be lost otherwise. One at a time does, so that
+// room is kept for one gang and not for all. Gangs that still have time wait for room like others: keeping
+// room for all late ones served fewer jobs.
+func promoteGang(candidates []candidate) {
+	var oldest *candidate
+	for i := range candidates {
+		c := &candidates[i]
+		late := c.urgency == urgencyLate || c.urgency == urgencyLastChance
+		if !late || c.laxity >= gangChance || !c.job.def.Steps[c.step].Gang {
+			continue
+		}
+		if oldest == nil || cmp.Or(c.job.seen.Compare(oldest.job.seen), cmp.Compare(c.job.def.ID, oldest.job.def.ID)) < 0 {
+			oldest = c
 		}
 	}
+	if oldest != nil {
+		oldest.urgency = urgencyStarved
+	}
 }
 
 // beginDue begins the occurrences whose time has come.
