--- a/internal/apnode/apnode.go
+++ b/internal/apnode/apnode.go
@@ -10,8 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-	"github.com/sirupsen/logrus"
 	"github.com/urfave/negroni/v3"
 	"golang.org/x/sync/errgroup"
 
@@ -58,16 +56,12 @@
 // workers, each asked in less than a second, has seen the successor's fence.
 const fencingTime = 1200 * time.Millisecond
 
-// thousandths of a core are the unit of an entry's weight.
-const thousandths = 1000
-
 // Node is one entry.
 type Node struct {
 	// settings are those of the start: what is listened on stays so. current are the newest.
 	settings apadapter.Settings
 	current  atomic.Pointer[apadapter.Settings]
-	logger   *logrus.Logger
-	metrics  metrics.Registry
+	*reporter
 	store    *apadapter.Store
 	workers  *apadapter.Workers
 	machines *apadapter.Machines
@@ -79,25 +73,6 @@
 	table         atomic.Pointer[apqueue.Table]
 }
 
-// New composes an entry.
-func New(settings apadapter.Settings, logger *logrus.Logger) *Node {
-	n := &Node{settings: settings, logger: logger, metrics: metrics.NewRegistry()}
-	n.current.Store(&settings)
-	n.store = apadapter.NewStore(n.client(0), settings.Store)
-	n.workers = apadapter.NewWorkers(n.client(workerConnections))
-	n.advisorClient = n.client(1)
-	n.machines = apadapter.NewMachines(n.client(0), settings.Machines, settings.Node)
-	options := apintake.DefaultOptions()
-	options.MaxSettingsAge = time.Duration(freshness * float64(settings.Bounds.Config))
-	n.intake = apintake.New(n.store, options, n.logRequest)
-	n.callers = apadapter.NewCallers(n.intake, time.Now)
-	membership := apmember.DefaultOptions()
-	membership.TTL = max(membership.TTL, settings.MinTTL)
-	membership.Weight = int(settings.CPUShare * thousandths)
-	n.member = apmember.New(n.store, settings.Node, n.shards, n.own, n.logEvent, membership)
-	return n
-}
-
 // Reload applies the settings file when it has changed, and logs what it did: also without a change when
 // asked is true. Addresses of the platform apply at once, bounds to shards that are claimed from now on.
 // The name, what is listened on and the limits of the machine take a new start. A file that can't be read
@@ -235,6 +210,7 @@
 	}
 	if n.intake.Apply(table) {
 		n.table.Store(table)
+		n.version.Store(table.Version)
 		n.logEvent("SettingsApplied", map[string]any{"Version": table.Version, "Queues": len(table.Queues), "Revision": value.Revision})
 	}
 }
--- a/internal/apnode/observe.go
+++ b/internal/apnode/observe.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -22,33 +23,38 @@
 	return apadapter.ParseWorker(key, data)
 }
 
-func (n *Node) logEvent(event string, fields map[string]any) {
-	metrics.GetOrRegisterCounter("event."+event, n.metrics).Inc(1)
+// reporter writes the log and the metrics of an entry.
+type reporter struct {
+	logger  *logrus.Logger
+	metrics metrics.Registry
+	// version is that of the settings in force.
+	version atomic.Uint64
+}
+
+func newReporter(logger *logrus.Logger, registry metrics.Registry) *reporter {
+	return &reporter{logger: logger, metrics: registry}
+}
+
+func (r *reporter) logEvent(event string, fields map[string]any) {
+	metrics.GetOrRegisterCounter("event."+event, r.metrics).Inc(1)
 	entry := logrus.Fields{"Event": event}
 	for key, value := range fields {
 		if value != nil {
 			entry[key] = value
 		}
 	}
-	n.logger.WithFields(entry).Info()
+	r.logger.WithFields(entry).Info()
 }
 
-func (n *Node) logRequest(event string, id apjob.ID, err error, fields map[string]any) {
-	entry := map[string]any{"Job": id, "Code": uint16(apcode.Of(err)), "SettingsVersion": n.version()}
+func (r *reporter) logRequest(event string, id apjob.ID, err error, fields map[string]any) {
+	entry := map[string]any{"Job": id, "Code": uint16(apcode.Of(err)), "SettingsVersion": r.version.Load()}
 	for key, value := range fields {
 		entry[key] = value
 	}
 	if err != nil {
 		entry["Error"] = err
 	}
-	n.logEvent(event, entry)
-}
-
-func (n *Node) version() uint64 {
-	if table := n.table.Load(); table != nil {
-		return table.Version
-	}
-	return 0
+	r.logEvent(event, entry)
 }
 
 // Samples of a histogram of durations.
@@ -57,8 +63,8 @@
 	reservoirAlpha = 0.015
 )
 
-func (n *Node) observe(name string, d time.Duration) {
-	histogram := n.metrics.GetOrRegister("duration."+name+".us", func() metrics.Histogram {
+func (r *reporter) observe(name string, d time.Duration) {
+	histogram := r.metrics.GetOrRegister("duration."+name+".us", func() metrics.Histogram {
 		return metrics.NewHistogram(metrics.NewExpDecaySample(reservoirSize, reservoirAlpha))
 	})
 	if h, ok := histogram.(metrics.Histogram); ok {
@@ -83,10 +89,10 @@
 }
 
 // client returns a client of the platform whose calls are counted.
-func (n *Node) client(maxPerHost int) *apadapter.Client {
+func (r *reporter) client(maxPerHost int) *apadapter.Client {
 	client := apadapter.NewClient(maxPerHost)
 	client.Count = func(path string) {
-		metrics.GetOrRegisterCounter(callsPrefix+callName(path), n.metrics).Inc(1)
+		metrics.GetOrRegisterCounter(callsPrefix+callName(path), r.metrics).Inc(1)
 	}
 	return client
 }
@@ -105,7 +111,7 @@
 }
 
 // reportCalls logs the counts of calls to the platform since the last line.
-func (n *Node) reportCalls(ctx context.Context) error {
+func (r *reporter) reportCalls(ctx context.Context) error {
 	ticker := time.NewTicker(reportEvery)
 	defer ticker.Stop()
 	last := make(map[string]int64)
@@ -116,13 +122,13 @@
 		case <-ticker.C:
 		}
 		fields := make(map[string]any)
-		n.metrics.Each(func(name string, metric any) {
+		r.metrics.Each(func(name string, metric any) {
 			counter, ok := metric.(metrics.Counter)
 			if call, isCall := strings.CutPrefix(name, callsPrefix); ok && isCall {
 				fields[call] = counter.Count() - last[name]
 				last[name] = counter.Count()
 			}
 		})
-		n.logEvent("Calls", fields)
+		r.logEvent("Calls", fields)
 	}
 }
--- /dev/null
+++ b/internal/apnode/wire.go
@@ -0,0 +1,22 @@
+//go:build wireinject
+
+package apnode
+
+import (
+	"github.com/google/wire"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"auburnport/platform"
+)
+
+// providers composes a Node.
+var providers = wire.NewSet(
+	newReporter, metrics.NewRegistry, newStore, newWorkers, newMachines, newIntake, newCallers, newNode,
+)
+
+// New composes an entry from its settings.
+func New(settings apadapter.Settings, logger *logrus.Logger) *Node {
+	wire.Build(providers)
+	return nil
+}
