--- a/internal/apsoak/inject.go
+++ b/internal/apsoak/inject.go
@@ -104,49 +104,48 @@
 // signal ends, pauses or reloads entries.
 func (s *Soak) signal(ctx context.Context, step Step, random *rand.Rand) error {
 	hit := pick(s.nodes, step.Share, random)
-	if step.Kind == KindRoll {
-		hit = s.nodes
-	}
-	for _, n := range hit {
-		switch step.Kind {
-		case KindReload:
-			n.signal(syscall.SIGHUP)
-		case KindPause:
-			n.signal(syscall.SIGSTOP)
-		case KindKill:
-			n.signal(syscall.SIGKILL)
-		case KindTerm:
-			n.signal(syscall.SIGTERM)
-		default:
-			n.signal(syscall.SIGTERM)
-			n.stopped(ctx, grace)
-			if !pause(ctx, restartAfter) {
-				return nil
-			}
-			if err := n.ensure(); err != nil {
-				return err
-			}
-		}
-	}
 	switch step.Kind {
+	case KindReload:
+		all(hit, syscall.SIGHUP)
 	case KindPause:
+		all(hit, syscall.SIGSTOP)
 		pause(ctx, step.For)
-		for _, n := range hit {
-			n.signal(syscall.SIGCONT)
-		}
-	case KindKill, KindTerm:
-		for _, n := range hit {
-			n.stopped(ctx, grace)
-		}
-		if !pause(ctx, restartAfter) {
-			return nil
-		}
-		for _, n := range hit {
-			if err := n.ensure(); err != nil {
+		all(hit, syscall.SIGCONT)
+	case KindKill:
+		all(hit, syscall.SIGKILL)
+		return restart(ctx, hit)
+	case KindTerm:
+		all(hit, syscall.SIGTERM)
+		return restart(ctx, hit)
+	default:
+		for _, n := range s.nodes {
+			n.signal(syscall.SIGTERM)
+			if err := restart(ctx, []*node{n}); err != nil || ctx.Err() != nil {
 				return err
 			}
 		}
-	default:
+	}
+	return nil
+}
+
+func all(nodes []*node, signal syscall.Signal) {
+	for _, n := range nodes {
+		n.signal(signal)
+	}
+}
+
+// restart starts entries again when all of them have ended.
+func restart(ctx context.Context, nodes []*node) error {
+	for _, n := range nodes {
+		n.stopped(ctx, grace)
+	}
+	if !pause(ctx, restartAfter) {
+		return nil
+	}
+	for _, n := range nodes {
+		if err := n.ensure(); err != nil {
+			return err
+		}
 	}
 	return nil
 }
--- a/pkg/apscheduler/job.go
+++ b/pkg/apscheduler/job.go
@@ -264,7 +264,6 @@
 		return false
 	}
 	j := s.jobs[run.Task.Job]
-	j.started = j.started || how == apworker.EndDone || how == apworker.EndFailed
 	t.Worker = ""
 	if checkpoint != "" {
 		t.Checkpoint = checkpoint
@@ -283,6 +282,7 @@
 		j.triedOn[run.Task] = append(j.triedOn[run.Task], on)
 	default:
 	}
+	j.started = j.started || t.Tried()
 	j.recount()
 	s.markDirty(j)
 	s.judge(j, run.Task, how, now)
