Submissions wait for a store that has just gone, as long as it has been away

Change: while the store is away nothing is sent to it; a submission waits as long as the outage has lasted, at least 0.5 s, if its caller waits that long, and is refused at once otherwise. A watch that failed asks again without waiting.

--- a/internal/apcommand/soak.go
+++ b/internal/apcommand/soak.go
@@ -111,11 +111,18 @@
 	return nil
 }
 
+// maxPrinted bounds the broken promises that are printed of one seed.
+const maxPrinted = 20
+
 func (a *app) printBreaches(report apsoak.Report) {
 	for _, step := range report.Script {
 		_, _ = fmt.Fprintln(a.out, "   ", step)
 	}
-	for _, breach := range report.Breaches {
+	for i, breach := range report.Breaches {
+		if i == maxPrinted {
+			_, _ = fmt.Fprintf(a.out, "  and %d more\n", len(report.Breaches)-i)
+			return
+		}
 		_, _ = fmt.Fprintln(a.out, "  broken:", breach)
 	}
 }
--- a/internal/apintake/apintake.go
+++ b/internal/apintake/apintake.go
@@ -47,6 +47,11 @@
 
 	mu      sync.Mutex
 	waiting map[apjournal.Shard]waitingCount
+	// lostAt is when the store stopped answering; zero while it answers. regained is closed when it
+	// answers again; held counts the submissions that wait for that.
+	lostAt   time.Time
+	regained chan struct{}
+	held     int
 }
 
 type waitingCount struct {
@@ -68,8 +73,16 @@
 	return true
 }
 
-// Confirm notes that the settings were current at a time.
-func (i *Intake) Confirm(at time.Time) { i.confirmed.Store(&at) }
+// Confirm notes that the settings were current at a time, and that the store answers.
+func (i *Intake) Confirm(at time.Time) {
+	i.confirmed.Store(&at)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if !i.lostAt.IsZero() {
+		close(i.regained)
+		i.lostAt = time.Time{}
+	}
+}
 
 // Leave makes the entry ask for no new callers.
 func (i *Intake) Leave() { i.leaving.Store(true) }
--- /dev/null
+++ b/internal/apintake/outage_test.go
@@ -0,0 +1,95 @@
+package apintake_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"auburnport/internal/apintake"
+	"auburnport/pkg/apcode"
+	"auburnport/pkg/apqueue"
+	"auburnport/pkg/apstore/memory"
+)
+
+func TestPatienceIsWhatTheOutageHasLasted(t *testing.T) {
+	for _, c := range []struct{ outage, left, want time.Duration }{
+		{0, 2800 * time.Millisecond, 500 * time.Millisecond},
+		{2 * time.Second, 2800 * time.Millisecond, 2 * time.Second},
+		{3 * time.Second, 2800 * time.Millisecond, 0},
+		{time.Minute, 2800 * time.Millisecond, 0},
+		{0, 300 * time.Millisecond, 0},
+	} {
+		assert.Equal(t, apintake.Patience(c.outage, c.left), c.want)
+	}
+}
+
+// patience and attempts of a caller, as seen on the users' platform.
+const (
+	attemptTime = 2800 * time.Millisecond
+	attemptGap  = time.Second
+	attempts    = 5
+)
+
+// An outage of 4.2 s, and callers that come every 100 ms, ask again a second after a refusal and give up
+// after five attempts: none of them may be lost. Refused at once, all of the first 0.2 s were.
+func TestCallersOutlastAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := intake(memory.Ledger{Store: memory.New()})
+		in.Apply(&apqueue.Table{Version: 1})
+		in.Confirm(time.Now())
+		in.Lost()
+		callers := &errgroup.Group{}
+		for n := range 40 {
+			callers.Go(func() error {
+				time.Sleep(time.Duration(n) * 100 * time.Millisecond)
+				var err error
+				for range attempts {
+					ctx, cancel := context.WithTimeout(t.Context(), attemptTime)
+					err = in.Await(ctx)
+					cancel()
+					if err == nil {
+						return nil
+					}
+					time.Sleep(attemptGap)
+				}
+				return err
+			})
+		}
+		time.Sleep(4200 * time.Millisecond)
+		in.Confirm(time.Now())
+		assert.NilError(t, callers.Wait())
+	})
+}
+
+// Late in a long outage a caller is refused at once, and what waits is bounded.
+func TestLongOutageRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := intake(memory.Ledger{Store: memory.New()})
+		assert.NilError(t, in.Await(t.Context()), "the store answers")
+		in.Lost()
+		time.Sleep(10 * time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), attemptTime)
+		defer cancel()
+		began := time.Now()
+		assert.Equal(t, apcode.Of(in.Await(ctx)), apcode.StoreUnavailable)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+	})
+	synctest.Test(t, func(t *testing.T) {
+		in := intake(memory.Ledger{Store: memory.New()})
+		in.Lost()
+		time.Sleep(time.Second)
+		waiting := &errgroup.Group{}
+		for range 512 {
+			waiting.Go(func() error { return in.Await(t.Context()) })
+		}
+		synctest.Wait()
+		assert.Equal(t, apcode.Of(in.Await(t.Context())), apcode.StoreUnavailable)
+		in.Confirm(time.Now())
+		assert.NilError(t, waiting.Wait())
+		assert.NilError(t, in.Await(t.Context()))
+	})
+}
--- a/internal/apnode/apnode.go
+++ b/internal/apnode/apnode.go
@@ -191,6 +191,7 @@
 			n.logEvent("Store", map[string]any{"Lost": failing, "Error": update.Err})
 		}
 		if update.Err != nil {
+			n.intake.Lost()
 			return
 		}
 		for _, event := range update.Events {
--- a/internal/apsoak/apsoak.go
+++ b/internal/apsoak/apsoak.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -90,7 +91,11 @@
 
 // start brings the platform and the entries up.
 func (s *Soak) start(ctx context.Context, dir string, group *errgroup.Group) error {
-	s.emulator = apemulator.New()
+	s.emulator = apemulator.New(apemulator.WithOptions(func(o *apemulator.Options) {
+		for i := range o.Pools {
+			o.Pools[i].Machines = max(o.Pools[i].Machines, int(math.Ceil(s.options.Rate*machinesPerJob)))
+		}
+	}))
 	s.workers = newProxies(group)
 	s.emulator.Fleet.Wrap = s.workers.add
 	if err := s.emulator.Start(ctx); err != nil {
@@ -116,6 +121,11 @@
 	return nil
 }
 
+// machinesPerJob is how many machines each pool has for each job a second. A job takes 11 core-seconds on
+// average, two pools of machines of 8 cores share them: the load is two thirds of what there is, so that what
+// was accepted can get done in time.
+const machinesPerJob = 1.0
+
 // configure writes the next version of the configuration.
 func (s *Soak) configure(ctx context.Context) error {
 	version, queues := s.queues.next()
--- a/pkg/apstore/tail.go
+++ b/pkg/apstore/tail.go
@@ -53,17 +53,21 @@
 
 // follow watches until the history is lost.
 func (t Tail) follow(ctx context.Context, after Revision, apply func(Update)) {
+	wait := t.Wait
 	for ctx.Err() == nil {
 		asked := time.Now()
-		feed, err := t.Ledger.Follow(ctx, t.Prefix, after, t.Wait)
+		feed, err := t.Ledger.Follow(ctx, t.Prefix, after, wait)
 		if apcode.Is(err, apcode.StoreHistoryLost) {
 			return
 		}
 		if err != nil {
 			apply(Update{Err: err, Asked: asked})
 			Pause(ctx, t.Backoff)
+			// The first answer tells that the store is back, and must not wait for a change.
+			wait = 0
 			continue
 		}
+		wait = t.Wait
 		after = max(after, feed.Revision)
 		apply(Update{Events: feed.Events, Asked: asked})
 		Pause(ctx, t.Gap)
