--- a/pkg/apmachine/apmachine_test.go
+++ b/pkg/apmachine/apmachine_test.go
@@ -202,7 +202,7 @@
 func TestHomelessTaskBringsAMachine(t *testing.T) {
 	tables := world(map[apfleet.ServiceName]int{"a": 3}, 2)
 	pool := tables.Pools["a"]
-	pool.Widest, pool.Homeless = 3, 1
+	pool.Homeless = 1
 	tables.Pools["a"] = pool
 	carried, _ := moves(apmachine.Plan(tables))
 	assert.Equal(t, carried["a"], 1)
@@ -266,6 +266,7 @@
 	tables := world(map[apfleet.ServiceName]int{"a": 6}, 4)
 	pool := tables.Pools["a"]
 	pool.Widest = 6
+	pool.Lasting["i-m-a-02"] = 1
 	tables.Pools["a"] = pool
 	for _, name := range []apmachine.Name{"m-a-00", "m-a-01"} {
 		tables.Disruptions[name] = apmachine.Disruption{Machine: name, Worker: apjob.WorkerID("i-" + name), Pool: "a", Kind: apmachine.KindUpkeep, Wave: 1}
--- a/pkg/apmachine/balance.go
+++ b/pkg/apmachine/balance.go
@@ -152,15 +152,14 @@
 	}
 	queued := max(float64(p.Queued)/horizon.Seconds(), t.forecast(pool)/forecastHorizon.Seconds())
 	work := headroom*float64(used) + queued
-	least := floor
-	if p.Widest > 0 {
+	least := max(floor, p.Widest)
+	if len(p.Lasting) > 0 {
 		// Tasks that leave a machine for its upkeep need another one meanwhile.
-		away := t.inUpkeep(pool)
-		least = max(least, p.Widest+away)
-		if p.Homeless > 0 {
-			// Bounds for one worker can keep a task from all that there are.
-			least = max(least, len(p.Used)+away+(p.Homeless+homelessShare-1)/homelessShare)
-		}
+		least += t.inUpkeep(pool)
+	}
+	if p.Homeless > 0 {
+		// Bounds for one worker, and memory, can keep a task from all that there are.
+		least = max(least, len(p.Used)+t.inUpkeep(pool)+(p.Homeless+homelessShare-1)/homelessShare)
 	}
 	return need{least: least, machines: max(least, int(math.Ceil(work/t.typicalCPU())))}
 }
--- a/pkg/apscheduler/evacuate_test.go
+++ b/pkg/apscheduler/evacuate_test.go
@@ -215,3 +215,38 @@
 	}
 	t.Fatal("the task was not started again")
 }
+
+// Room is kept where the task can have it: not on the worker with the most idle processors, whose memory
+// another long-running task holds for good. One task waited 16 s for such room.
+func TestRoomIsKeptWhereItCanComeFree(t *testing.T) {
+	s := apscheduler.New(1)
+	submit := func(id apjob.ID, step apjob.Step) {
+		step.Count = 1
+		s.Submit(&apjob.Job{ID: id, Queue: "q", Steps: []apjob.Step{step}, Submitted: start}, 0, start)
+	}
+	place := func() map[apjob.ID]apjob.WorkerID {
+		s.Plan(start, start)
+		storeAll(s)
+		placed := make(map[apjob.ID]apjob.WorkerID)
+		for _, order := range s.Orders(start) {
+			if o, ok := order.(apscheduler.Start); ok {
+				placed[o.Order.Run.Task.Job] = o.To.ID
+				s.Answered(o.To.ID, o.Order.Run, false, nil, start)
+			}
+		}
+		return placed
+	}
+	s.Register(workerInfo("full", 9000), start)
+	s.Report("full", apworker.Report{Clock: time.Second}, start, start)
+	submit("00000000000000f1", apjob.Step{Need: apjob.Resources{CPU: 500, Memory: 60_000}, LongRunning: true})
+	assert.Equal(t, place()["00000000000000f1"], apjob.WorkerID("full"))
+	s.Register(workerInfo("other", 4000), start)
+	s.Report("other", apworker.Report{Clock: time.Second}, start, start)
+	submit("00000000000000f2", apjob.Step{Need: apjob.Resources{CPU: 3000, Memory: 9000}, Estimate: time.Second})
+	assert.Equal(t, place()["00000000000000f2"], apjob.WorkerID("other"))
+	submit(jobID, apjob.Step{Need: apjob.Resources{CPU: 4000, Memory: 20_000}, LongRunning: true})
+	submit("00000000000000f3", apjob.Step{Need: apjob.Resources{CPU: 1000, Memory: 100}, Estimate: time.Second})
+	placed := place()
+	assert.Equal(t, placed[jobID], apjob.WorkerID(""), "no room yet")
+	assert.Equal(t, placed["00000000000000f3"], apjob.WorkerID("full"), "the other worker is kept")
+}
--- a/pkg/apscheduler/place.go
+++ b/pkg/apscheduler/place.go
@@ -67,7 +67,7 @@
 func (s *Shard) roomiest(step *apjob.Step, use *stepUse, open []*worker) *worker {
 	var best *worker
 	for _, w := range open {
-		if !w.info.Capacity.Fits(step.Booked()) || !allows(step, use, w) {
+		if s.fitting(w, step, use) == 0 {
 			continue
 		}
 		if best == nil || w.info.Capacity.CPU-w.used.CPU > best.info.Capacity.CPU-best.used.CPU {
