--- a/internal/apcontroller/apcontroller.go
+++ b/internal/apcontroller/apcontroller.go
@@ -313,12 +313,19 @@
 				c.config.Log("WaveUnreadable", map[string]any{"Key": value.Key, "Error": err})
 			}
 		}
-		c.tables.Since[w.Number] = now
+		passed := finished.Passed(w, now)
+		write := c.status(w.Number, finished.Completed)
+		if finished.Began.IsZero() {
+			// A successor goes on in the wave's time, not in a time of its own.
+			finished.Began = now
+			write.Puts = append(write.Puts, apstore.Put{Key: waveKey(w.Number), Data: apfleet.Encode(finished)})
+		}
+		c.tables.Since[w.Number] = now.Add(-passed)
 		c.tables.Finished[w.Number] = finished
 		c.config.Log("WaveSeen", map[string]any{
-			"Wave": w.Number, "Machines": len(w.Machines), "Done": len(finished.Machines), "MaxCount": w.MaxCount, "Duration": w.Duration,
+			"Wave": w.Number, "Machines": len(w.Machines), "Done": len(finished.Machines), "MaxCount": w.MaxCount, "Duration": w.Duration, "Passed": passed,
 		})
-		if err := c.write(ctx, c.status(w.Number, finished.Completed)); err != nil {
+		if err := c.write(ctx, write); err != nil {
 			return err
 		}
 	}
--- a/internal/apcontroller/apcontroller_test.go
+++ b/internal/apcontroller/apcontroller_test.go
@@ -135,6 +135,34 @@
 	})
 }
 
+// A successor goes on in the wave's time: it had begun a time of its own, and waves ended late for each
+// holder that was lost.
+func TestSuccessorGoesOnInTheWavesTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ledger := memory.Ledger{Store: memory.New()}
+		f := newFleet(400)
+		w := waves{wave: apmachine.Wave{Number: 1, MaxCount: 300, Duration: 60 * time.Second}}
+		for _, m := range f.machines {
+			w.wave.Machines = append(w.wave.Machines, m.Name)
+		}
+		_, err := ledger.Commit(t.Context(), apstore.Transaction{Puts: []apstore.Put{{Key: "waves/1", Data: []byte{1}}}})
+		assert.NilError(t, err)
+		began := time.Now()
+		for _, holder := range []apfleet.EntryName{"a", "b", "c", "d", "e", "f", "g", "h"} {
+			ctx, stop := context.WithTimeout(t.Context(), 7*time.Second)
+			assert.NilError(t, control(t, ctx, ledger, f, w, holder))
+			stop()
+			status, err := ledger.Read(t.Context(), "done/1")
+			assert.NilError(t, err)
+			if string(status.Data) == "true" {
+				assert.Assert(t, time.Since(began) <= w.wave.Duration)
+				return
+			}
+		}
+		t.Fatalf("%d of 400 machines were maintained within the wave's time", len(f.done))
+	})
+}
+
 // twoWaves reads the wave that its value names.
 type twoWaves struct {
 	waves
--- a/pkg/apmachine/apmachine.go
+++ b/pkg/apmachine/apmachine.go
@@ -111,6 +111,17 @@
 	Machines []Name `cbor:"Machines"`
 	// Completed tells that the operator has been told.
 	Completed bool `cbor:"Completed"`
+	// Began is the time of day at which a controller first saw the wave; zero when none has.
+	Began time.Time `cbor:"Began"`
+}
+
+// Passed returns how long a wave has run at a time of day, which another machine may have set: within the
+// wave's own time.
+func (f Finished) Passed(wave Wave, now time.Time) time.Duration {
+	if f.Began.IsZero() {
+		return 0
+	}
+	return min(max(now.Sub(f.Began), 0), wave.Duration)
 }
 
 // Check accepts every list.
