--- a/pkg/apmachine/balance.go
+++ b/pkg/apmachine/balance.go
@@ -231,22 +231,10 @@
 			spare = append(spare, m)
 		}
 	}
-	slices.SortStableFunc(spare, func(a, b Machine) int { return compareBool(t.Awaiting[a.Name], t.Awaiting[b.Name]) })
+	slices.SortStableFunc(spare, func(a, b Machine) int { return apfleet.CompareBool(t.Awaiting[a.Name], t.Awaiting[b.Name]) })
 	return spare
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
-
 // poolNames returns the pools that run tasks.
 func (t *Tables) poolNames() []apfleet.ServiceName {
 	pools := make([]apfleet.ServiceName, 0, len(t.Pools))
@@ -274,7 +262,7 @@
 	}
 	slices.SortFunc(movable, func(a, b Machine) int {
 		return cmp.Or(cmp.Compare(p.Used[a.Worker], p.Used[b.Worker]),
-			compareBool(t.Awaiting[b.Name], t.Awaiting[a.Name]), cmp.Compare(a.Name, b.Name))
+			apfleet.CompareBool(t.Awaiting[b.Name], t.Awaiting[a.Name]), cmp.Compare(a.Name, b.Name))
 	})
 	var actions []Action
 	for _, m := range movable[:max(0, min(surplus, len(movable)))] {
--- a/pkg/apscheduler/advice.go
+++ b/pkg/apscheduler/advice.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"auburnport/pkg/apfleet"
 	"auburnport/pkg/apjob"
 	"auburnport/pkg/apworker"
 )
@@ -96,7 +97,7 @@
 // ask queues a question about the workers that are known to be allowed first, then the emptiest.
 func (s *Shard) ask(step apjob.StepID, a *advice, workers []*worker, n int) {
 	slices.SortFunc(workers, func(x, y *worker) int {
-		return cmp.Or(-compareBool(a.allowed[x.info.ID], a.allowed[y.info.ID]), cmp.Compare(x.used.CPU, y.used.CPU), cmp.Compare(x.info.ID, y.info.ID))
+		return cmp.Or(-apfleet.CompareBool(a.allowed[x.info.ID], a.allowed[y.info.ID]), cmp.Compare(x.used.CPU, y.used.CPU), cmp.Compare(x.info.ID, y.info.ID))
 	})
 	q := Question{Step: step}
 	for _, w := range workers[:min(n, len(workers))] {
--- a/pkg/apscheduler/evacuate.go
+++ b/pkg/apscheduler/evacuate.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"auburnport/pkg/apfleet"
 	"auburnport/pkg/apjob"
 )
 
@@ -53,7 +54,7 @@
 		}
 	}
 	slices.SortFunc(leaving, func(a, b *worker) int {
-		return cmp.Or(compareBool(b.info.Draining, a.info.Draining), cmp.Compare(s.cordoned[a.info.ID], s.cordoned[b.info.ID]), cmp.Compare(a.info.ID, b.info.ID))
+		return cmp.Or(apfleet.CompareBool(b.info.Draining, a.info.Draining), cmp.Compare(s.cordoned[a.info.ID], s.cordoned[b.info.ID]), cmp.Compare(a.info.ID, b.info.ID))
 	})
 	return leaving
 }
--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"auburnport/pkg/apfleet"
 	"auburnport/pkg/apjob"
 	"auburnport/pkg/apworker"
 )
@@ -148,7 +149,7 @@
 	return cmp.Or(
 		cmp.Compare(a.urgency, b.urgency),
 		cmp.Compare(a.priority, b.priority),
-		-compareBool(a.begun, b.begun),
+		-apfleet.CompareBool(a.begun, b.begun),
 		compareWithin(a, b),
 		a.job.seen.Compare(b.job.seen),
 		cmp.Compare(a.job.def.ID, b.job.def.ID),
@@ -168,17 +169,6 @@
 	}
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	default:
-		return -1
-	}
-}
-
 func (s *Shard) candidates(now time.Time) []candidate {
 	var candidates []candidate
 	for _, j := range s.active {
