Takeover: a successor stops the tasks of a cancelled job

The successor booked them as ordered, and did not cancel a job that was final already: they ran on for good. Change: runs of a final job are booked as being stopped.

--- a/pkg/apscheduler/job.go
+++ b/pkg/apscheduler/job.go
@@ -132,19 +132,24 @@
 		for n := range occurrence.Steps {
 			for k := range occurrence.Steps[n] {
 				j.started = j.started || occurrence.Steps[n][k].Tried()
-				s.loadTask(def, apjob.TaskID{Job: def.ID, Occurrence: occurrence.Number, Step: n, Index: k}, &occurrence.Steps[n][k], now)
+				s.loadTask(j, apjob.TaskID{Job: def.ID, Occurrence: occurrence.Number, Step: n, Index: k}, &occurrence.Steps[n][k], now)
 			}
 		}
 	}
 	s.add(j)
 }
 
-func (s *Shard) loadTask(def *apjob.Job, id apjob.TaskID, t *apjob.Task, now time.Time) {
+// loadTask books a run that an earlier owner may have ordered. A run of a job that was cancelled or has failed
+// is stopped: the earlier owner may not have come to it.
+func (s *Shard) loadTask(j *job, id apjob.TaskID, t *apjob.Task, now time.Time) {
 	if t.Worker == "" {
 		return
 	}
 	w := s.worker(t.Worker, now)
-	o := &occupant{need: def.Steps[id.Step].Booked(), phase: phaseOrdered, silent: true, sentAt: now, checkpoint: t.Checkpoint}
+	o := &occupant{need: j.def.Steps[id.Step].Booked(), phase: phaseOrdered, silent: true, sentAt: now, checkpoint: t.Checkpoint}
+	if j.state().Final() {
+		o.phase, o.sentAt = phaseStopping, time.Time{}
+	}
 	w.book(apjob.RunKey{Task: id, Run: t.Run}, o)
 }
 
--- a/pkg/apscheduler/takeover_test.go
+++ b/pkg/apscheduler/takeover_test.go
@@ -110,3 +110,26 @@
 	}
 	t.Fatal("not started within 9 s")
 }
+
+// An owner that cancels a job, stores that and loses its shard before it has stopped the tasks leaves them to
+// its successor, which stops them. They ran on for good.
+func TestSuccessorStopsTheTasksOfACancelledJob(t *testing.T) {
+	for _, state := range []apjob.State{apjob.Cancelled, apjob.Failed} {
+		s := apscheduler.New(2)
+		progress := apjob.Progress{State: state, Ended: start.Unix(), Occurrences: []apjob.Occurrence{{Steps: [][]apjob.Task{{{Run: 1, Worker: "w1"}}}}}}
+		s.Load(job(apjob.Step{Count: 1, Need: apjob.Resources{CPU: 1000}, LongRunning: true}), progress, 0, start)
+		s.Cancel(jobID, start)
+		s.Register(workerInfo("w1", 4000), start)
+		run := apjob.RunKey{Task: apjob.TaskID{Job: jobID}, Run: 1}
+		s.Report("w1", apworker.Report{Clock: time.Second, Running: []apworker.Running{{Run: run, Percent: 100}}}, start, start)
+		s.Plan(start, start)
+		assert.DeepEqual(t, stops(s.Orders(start)), []apjob.RunKey{run})
+		s.Answered("w1", run, true, nil, start)
+		later := start.Add(time.Second)
+		s.Report("w1", apworker.Report{Clock: 2 * time.Second, Ended: []apworker.Ended{{Number: 1, Run: run, How: apworker.EndStopped}}}, later, later)
+		batch := s.NextBatch()
+		assert.Equal(t, len(batch.Records), 1)
+		assert.Assert(t, batch.Records[0].Retired, "nothing runs any more")
+		assert.Equal(t, batch.Records[0].Progress.State, state)
+	}
+}
