--- a/internal/apnode/apnode_test.go
+++ b/internal/apnode/apnode_test.go
@@ -3,11 +3,12 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -49,13 +50,13 @@
 	return false
 }
 
-// free returns a free port of loopback.
-func free(t *testing.T) netip.AddrPort {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return netip.MustParseAddrPort(listener.Addr().String())
+// entries counts the entries of this process.
+var entries atomic.Uint32
+
+// own returns a loopback address that no other process uses, so that its ports are free.
+func own() netip.Addr {
+	pid := os.Getpid()
+	return netip.AddrFrom4([4]byte{127, byte(64 + pid%128), byte(pid / 128 % 256), byte(200 + entries.Add(1))})
 }
 
 var find = apemulator.QueueSpec{
@@ -81,7 +82,8 @@
 	assert.NilError(t, err)
 	machines, err := e.ServeMachines()
 	assert.NilError(t, err)
-	e.settings, err = apadapter.ParseSettings(e.Settings("entry-1", free(t), free(t), free(t).Port(), store, machines))
+	ip := own()
+	e.settings, err = apadapter.ParseSettings(e.Settings("entry-1", netip.AddrPortFrom(ip, 8624), netip.AddrPortFrom(ip, 8622), 7060, store, machines))
 	assert.NilError(t, err)
 	logger, err := aplog.New(&e.log, "info", aplog.FormatText)
 	assert.NilError(t, err)
