Permits: an order leaves only while the sender's lease is certain

Nothing between the decision and the socket asked whether the lease still held. A start could in the same way reach a worker in a new life, which has met no fence.

Change: aplease.Permit counts from before each renewal, on CLOCK_BOOTTIME; the platform client asks it as the first bytes of a machine order or a start go out. Connections for machine orders are reset when given up. A successor waits for the last permit as well, unless the shard was released.

The soak plays unchecked fences on odd seeds.

--- a/internal/apcontroller/apcontroller.go
+++ b/internal/apcontroller/apcontroller.go
@@ -47,8 +47,10 @@
 	Waves    Waves
 	Queues   func() *apqueue.Table
 	Log      aplog.Event
-	// OrderLease is how long a new holder waits before it orders machines that another has ordered.
+	// OrderLease is how far apart orders of two holders for one machine must be.
 	OrderLease time.Duration
+	// Permit is how long a holder that has not given the shard up may act after its successor took over.
+	Permit time.Duration
 	// Away is the least time that a machine is away after an order.
 	Away time.Duration
 }
--- a/internal/apcontroller/apcontroller_test.go
+++ b/internal/apcontroller/apcontroller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -218,3 +219,90 @@
 		_, _ = ledger.Commit(ctx, apstore.Transaction{Puts: []apstore.Put{{Key: apjournal.PrefixPools + "pool", Data: data}}})
 	})
 }
+
+// dying is a ledger that fails for good once its client is dead.
+type dying struct {
+	memory.Ledger
+	dead *atomic.Bool
+}
+
+func (d dying) Commit(ctx context.Context, t apstore.Transaction) (apstore.Result, error) {
+	if d.dead.Load() {
+		return apstore.Result{}, apcode.Errorf(apcode.StoreUnavailable, "dead")
+	}
+	return d.Ledger.Commit(ctx, t)
+}
+
+// timed notes when each holder, named by its fence, first and last ordered a machine.
+type timed struct {
+	*fleet
+	began time.Time
+	first map[apmachine.Name]map[uint64]time.Duration
+}
+
+func (f timed) Carry(ctx context.Context, d apmachine.Disruption, fence uint64) error {
+	f.mu.Lock()
+	if f.first[d.Machine] == nil {
+		f.first[d.Machine] = make(map[uint64]time.Duration)
+	}
+	if _, again := f.first[d.Machine][fence]; !again {
+		f.first[d.Machine][fence] = time.Since(f.began)
+	}
+	f.mu.Unlock()
+	return f.fleet.Carry(ctx, d, fence)
+}
+
+// A successor of a holder that died may order a machine that was being emptied only once the permit of the
+// dead one has ended and orders are far enough apart: it may be paused and not dead.
+func TestSuccessorWaitsForTheLastPermit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ledger := memory.Ledger{Store: memory.New()}
+		f := timed{fleet: newFleet(40), began: time.Now(), first: make(map[apmachine.Name]map[uint64]time.Duration)}
+		w := waves{wave: apmachine.Wave{Number: 1, MaxCount: 8, Duration: 30 * time.Second}}
+		for _, m := range f.machines {
+			w.wave.Machines = append(w.wave.Machines, m.Name)
+		}
+		_, err := ledger.Commit(t.Context(), apstore.Transaction{Puts: []apstore.Put{{Key: "waves/1", Data: []byte{1}}}})
+		assert.NilError(t, err)
+		run := func(ctx context.Context, ledger apstore.Ledger, holder apfleet.EntryName, lease apstore.LeaseID) (*apjournal.Journal, func()) {
+			journal, err := apjournal.Claim(ctx, ledger, apjournal.Machines, holder, lease)
+			assert.NilError(t, err)
+			table := &apqueue.Table{Services: []apqueue.Service{{Name: "spare", Spare: true}}}
+			controller := apcontroller.New(apcontroller.Config{
+				Ledger: ledger, Journal: journal, Machines: f, Waves: w, Queues: func() *apqueue.Table { return table },
+				Log: func(string, map[string]any) {}, OrderLease: 3 * time.Second, Permit: 1500 * time.Millisecond, Away: away,
+			})
+			return journal, func() { _ = controller.Run(ctx) }
+		}
+		lease, err := ledger.Grant(t.Context(), 1500*time.Millisecond)
+		assert.NilError(t, err)
+		dead := &atomic.Bool{}
+		first, stop := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer stop()
+		journal, play := run(first, dying{ledger, dead}, "a", lease)
+		assert.Assert(t, !journal.HandedOver())
+		time.AfterFunc(200*time.Millisecond, func() { dead.Store(true) })
+		play()
+		open, err := ledger.Scan(t.Context(), apjournal.PrefixDisruptions)
+		assert.NilError(t, err)
+		assert.Assert(t, len(open.Values) > 0, "the dead holder was emptying machines")
+
+		time.Sleep(2 * time.Second)
+		second, stop := context.WithTimeout(t.Context(), 20*time.Second)
+		defer stop()
+		journal, play = run(second, ledger, "b", 0)
+		assert.Assert(t, !journal.HandedOver())
+		taken := time.Since(f.began)
+		play()
+		for _, value := range open.Values {
+			var d apmachine.Disruption
+			assert.NilError(t, apfleet.Decode(value.Data, &d))
+			at, ordered := f.first[d.Machine][journal.Fence()]
+			assert.Assert(t, ordered, "%s", d.Machine)
+			assert.Assert(t, at >= taken+4500*time.Millisecond, "%s ordered %v after the takeover", d.Machine, at-taken)
+		}
+		third, err := apjournal.Claim(t.Context(), ledger, apjournal.Machines, "c", 0)
+		assert.NilError(t, err)
+		assert.Assert(t, third.HandedOver(), "b has given the shard up")
+	})
+}
--- a/internal/apcontroller/order.go
+++ b/internal/apcontroller/order.go
@@ -85,13 +85,21 @@
 	return c.order(ctx, orders)
 }
 
-// mayOrder holds a new holder back from machines that the last one may just have ordered: those that it
-// was emptying, and those that have not been up all the time since.
+// mayOrder holds a new holder back until its orders are far enough from those of the last one, which could
+// order only machines that it was emptying. Such an order may still come while its permit lasts, unless it
+// gave the shard up. A machine that was up when the machines were first listed was ordered, if at all,
+// before that by the time for which it was away.
 func (c *Controller) mayOrder(name apmachine.Name, now time.Time) bool {
-	if c.config.Journal.Epoch() == 1 || now.Sub(c.started) >= c.config.OrderLease {
+	since, wait := c.started, c.config.OrderLease
+	switch {
+	case c.config.Journal.Epoch() == 1:
 		return true
+	case c.inherited[name] && !c.config.Journal.HandedOver():
+		wait += c.config.Permit
+	case !c.inherited[name] && c.tables.UpSince[name].Equal(c.firstListed):
+		since, wait = c.firstListed, wait-c.config.Away
 	}
-	return !c.inherited[name] && c.tables.UpSince[name].Equal(c.firstListed)
+	return now.Sub(since) >= wait
 }
 
 func disruptionKey(name apmachine.Name) apfleet.Key {
@@ -104,11 +112,17 @@
 		return nil
 	}
 	results := make([]error, len(orders))
+	// Orders that are under way are awaited before the shard is given up.
+	sending := context.WithoutCancel(ctx)
 	group := &errgroup.Group{}
 	group.SetLimit(maxOrders)
 	for i, d := range orders {
 		group.Go(func() error {
-			results[i] = c.config.Machines.Carry(ctx, d, c.config.Journal.Fence())
+			if ctx.Err() != nil {
+				results[i] = apcode.Wrapf(apcode.PermitExpired, ctx.Err(), "order of %s", d.Machine)
+				return nil
+			}
+			results[i] = c.config.Machines.Carry(sending, d, c.config.Journal.Fence())
 			return nil
 		})
 	}
--- a/internal/apmember/apmember.go
+++ b/internal/apmember/apmember.go
@@ -18,6 +18,7 @@
 	"auburnport/pkg/apcode"
 	"auburnport/pkg/apfleet"
 	"auburnport/pkg/apjournal"
+	"auburnport/pkg/aplease"
 	"auburnport/pkg/apstore"
 )
 
@@ -35,6 +36,8 @@
 	Tick time.Duration
 	// Weight is this entry's processor share in thousandths of a core.
 	Weight int
+	// Clock measures how long the lease is certain; aplease.Boottime when nil.
+	Clock aplease.Clock
 }
 
 // DefaultOptions returns the usual options.
@@ -50,8 +53,9 @@
 	watchBackoff = 100 * time.Millisecond
 )
 
-// Own runs a claimed shard until ctx ends or the shard is lost.
-type Own func(ctx context.Context, shard apjournal.Shard, journal *apjournal.Journal) error
+// Own runs a claimed shard until ctx ends or the shard is lost. The permit is that of the lease under which
+// the shard was claimed.
+type Own func(ctx context.Context, shard apjournal.Shard, journal *apjournal.Journal, permit *aplease.Permit) error
 
 // Member takes part in the sharing of shards.
 type Member struct {
@@ -70,12 +74,17 @@
 	freeSince map[apjournal.Shard]time.Time
 	viewed    bool
 	lease     apstore.LeaseID
-	since     time.Time
-	running   map[apjournal.Shard]context.CancelFunc
+	// permit belongs to lease.
+	permit  *aplease.Permit
+	since   time.Time
+	running map[apjournal.Shard]context.CancelFunc
 }
 
 // New returns a member that claims among shards and runs what it gets with own.
 func New(ledger apstore.Ledger, name apfleet.EntryName, shards func() []apjournal.Shard, own Own, log aplog.Event, options Options) *Member {
+	if options.Clock == nil {
+		options.Clock = aplease.Boottime
+	}
 	return &Member{
 		ledger: ledger, name: name, options: options, shards: shards, own: own, log: log,
 		entries: make(map[apfleet.EntryName]int), owners: make(map[apjournal.Shard]apfleet.EntryName),
@@ -83,6 +92,9 @@
 	}
 }
 
+// TTL returns how long the permit of a lease lasts at most.
+func (m *Member) TTL() time.Duration { return m.options.TTL }
+
 // Run takes part until ctx ends, then gives every shard and the registration up.
 func (m *Member) Run(ctx context.Context) error {
 	owned := &errgroup.Group{}
@@ -133,15 +145,21 @@
 
 func (m *Member) renew(ctx context.Context) error {
 	m.mu.Lock()
-	lease := m.lease
+	lease, permit := m.lease, m.permit
 	m.mu.Unlock()
 	if lease != 0 {
+		asked := permit.Asked()
 		err := m.ledger.Renew(ctx, lease)
+		if err == nil {
+			permit.Extend(asked, m.options.TTL)
+		}
 		if !apcode.Is(err, apcode.LeaseLost) {
 			return err
 		}
 		m.lost()
 	}
+	permit = aplease.NewPermit(m.options.Clock)
+	asked := permit.Asked()
 	lease, err := m.ledger.Grant(ctx, m.options.TTL)
 	if err != nil {
 		return err
@@ -154,7 +172,8 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.lease = lease
+	permit.Extend(asked, m.options.TTL)
+	m.lease, m.permit = lease, permit
 	if m.since.IsZero() {
 		m.since = time.Now()
 	}
@@ -166,6 +185,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.lease = 0
+	m.permit.End()
 	m.log("LeaseLost", map[string]any{"Shards": len(m.running)})
 	for _, cancel := range m.running {
 		cancel()
@@ -294,7 +314,7 @@
 
 func (m *Member) take(ctx context.Context, shard apjournal.Shard, owned *errgroup.Group) {
 	m.mu.Lock()
-	lease := m.lease
+	lease, permit := m.lease, m.permit
 	m.mu.Unlock()
 	journal, err := apjournal.Claim(ctx, m.ledger, shard, m.name, lease)
 	m.log("ShardClaimed", map[string]any{"Shard": shard, "Error": err})
@@ -312,7 +332,7 @@
 	m.mu.Unlock()
 	owned.Go(func() error {
 		defer cancel()
-		err := m.own(running, shard, journal)
+		err := m.own(running, shard, journal, permit)
 		m.log("ShardEnded", map[string]any{"Shard": shard, "Error": err})
 		m.mu.Lock()
 		defer m.mu.Unlock()
--- a/internal/apnode/apnode.go
+++ b/internal/apnode/apnode.go
@@ -21,6 +21,7 @@
 	"auburnport/pkg/apfleet"
 	"auburnport/pkg/apjob"
 	"auburnport/pkg/apjournal"
+	"auburnport/pkg/aplease"
 	"auburnport/pkg/apmachine"
 	"auburnport/pkg/apqueue"
 	"auburnport/pkg/apscheduler"
@@ -233,14 +234,14 @@
 }
 
 // own runs a shard that this entry has claimed.
-func (n *Node) own(ctx context.Context, shard apjournal.Shard, journal *apjournal.Journal) error {
+func (n *Node) own(ctx context.Context, shard apjournal.Shard, journal *apjournal.Journal, permit *aplease.Permit) error {
 	if shard == apjournal.Machines {
-		return n.control(ctx, journal)
+		return n.control(ctx, journal, permit)
 	}
 	settings := n.current.Load()
 	bounds := settings.Bounds
 	config := apowner.Config{
-		Shard: shard, Ledger: n.store, Workers: n.workers, Registry: registry{}, Journal: journal,
+		Shard: shard, Ledger: n.store, Workers: n.workers.Under(permit), Registry: registry{}, Journal: journal,
 		Queues: n.table.Load, Log: n.logEvent, Observe: n.observe,
 		Scheduler: []apscheduler.Option{apscheduler.WithOptions(func(o *apscheduler.Options) {
 			o.Lease = min(usualLease, time.Duration(leaseShare*float64(bounds.MaxLease)))
@@ -255,11 +256,11 @@
 }
 
 // control runs the shard of machines.
-func (n *Node) control(ctx context.Context, journal *apjournal.Journal) error {
+func (n *Node) control(ctx context.Context, journal *apjournal.Journal, permit *aplease.Permit) error {
 	bounds := n.current.Load().Bounds
 	return apcontroller.New(apcontroller.Config{
-		Ledger: n.store, Journal: journal, Machines: n.machines, Waves: waves{}, Queues: n.table.Load, Log: n.logEvent,
-		OrderLease: bounds.OrderLease, Away: min(bounds.Upkeep, bounds.Move),
+		Ledger: n.store, Journal: journal, Machines: n.machines.Under(permit), Waves: waves{}, Queues: n.table.Load, Log: n.logEvent,
+		OrderLease: bounds.OrderLease, Permit: n.member.TTL(), Away: min(bounds.Upkeep, bounds.Move),
 	}).Run(ctx)
 }
 
--- a/internal/apnode/observe.go
+++ b/internal/apnode/observe.go
@@ -90,7 +90,11 @@
 
 // client returns a client of the platform whose calls are counted.
 func (r *reporter) client(maxPerHost int) *apadapter.Client {
-	client := apadapter.NewClient(maxPerHost)
+	return r.count(apadapter.NewClient(maxPerHost))
+}
+
+// count makes a client count its calls.
+func (r *reporter) count(client *apadapter.Client) *apadapter.Client {
 	client.Count = func(path string) {
 		metrics.GetOrRegisterCounter(callsPrefix+callName(path), r.metrics).Inc(1)
 	}
--- a/internal/apnode/providers.go
+++ b/internal/apnode/providers.go
@@ -20,7 +20,7 @@
 }
 
 func newMachines(r *reporter, settings apadapter.Settings) *apadapter.Machines {
-	return apadapter.NewMachines(r.client(0), settings.Machines, settings.Node)
+	return apadapter.NewMachines(r.count(apadapter.NewOrderClient(apadapter.MachineTimeout)), settings.Machines, settings.Node)
 }
 
 func newIntake(r *reporter, store *apadapter.Store, settings apadapter.Settings) *apintake.Intake {
--- a/internal/apsoak/apsoak.go
+++ b/internal/apsoak/apsoak.go
@@ -92,6 +92,8 @@
 // start brings the platform and the entries up.
 func (s *Soak) start(ctx context.Context, dir string, group *errgroup.Group) error {
 	s.emulator = apemulator.New(apemulator.WithOptions(func(o *apemulator.Options) {
+		// Half of the seeds play a platform on which the entries' own permits must hold earlier holders back.
+		o.FencesUnchecked = s.options.Seed%2 == 1
 		for i := range o.Pools {
 			o.Pools[i].Machines = max(o.Pools[i].Machines, int(math.Ceil(s.options.Rate*machinesPerJob)))
 		}
--- a/pkg/apcode/apcode.go
+++ b/pkg/apcode/apcode.go
@@ -56,6 +56,7 @@
 	LeaseLost        Code = 3005
 	StoreRegressed   Code = 3006
 	StoreHistoryLost Code = 3007
+	PermitExpired    Code = 3008
 )
 
 // Codes of control.
--- a/pkg/apcode/descriptions.go
+++ b/pkg/apcode/descriptions.go
@@ -38,6 +38,7 @@
 		{LeaseLost, "LeaseLost", http.StatusConflict, false, "The lease has lapsed or belongs to another holder.", "Acquire it again."},
 		{StoreRegressed, "StoreRegressed", http.StatusConflict, false, "The store offers a revision older than one already seen.", "Restore the store from a newer copy; nothing older is applied."},
 		{StoreHistoryLost, "StoreHistoryLost", http.StatusGone, false, "The store no longer keeps the changes asked for.", "Read all values, then watch from their revision."},
+		{PermitExpired, "PermitExpired", http.StatusServiceUnavailable, true, "The sender's lease may lapse before an order has its effect: nothing was sent.", "Order again once the lease is renewed; else its successor acts."},
 		{BudgetExceeded, "BudgetExceeded", http.StatusConflict, false, "The disruption would break the pool's availability budget.", "Wait, or change MinAvailable."},
 		{NoSuchVM, "NoSuchVM", http.StatusNotFound, false, "No such VM is known.", "List the VMs with `auburnport status`."},
 		{NoSuchPool, "NoSuchPool", http.StatusNotFound, false, "No such pool is known.", "List the pools with `auburnport settings tree`."},
--- a/pkg/apjournal/apjournal.go
+++ b/pkg/apjournal/apjournal.go
@@ -115,6 +115,8 @@
 	Number uint64 `cbor:"Number"`
 	// Write rises with every write of the owner.
 	Write uint64 `cbor:"Write"`
+	// Released tells that the owner has given the shard up, and acts no more.
+	Released bool `cbor:"Released"`
 }
 
 // Check returns BadMessage for an epoch without a holder.
@@ -174,6 +176,8 @@
 	revision apstore.Revision
 	// fence is above that of every earlier owner of the shard.
 	fence uint64
+	// handedOver tells that the owner before has given the shard up.
+	handedOver bool
 }
 
 // The pause between attempts of a write doubles from some answers of the store to a part of a second,
@@ -196,6 +200,7 @@
 			return nil, err
 		}
 	}
+	handedOver := epoch.Released
 	epoch = Epoch{Holder: holder, Number: epoch.Number + 1}
 	free, err := claimable(ctx, ledger, shard, holder)
 	if err != nil {
@@ -213,7 +218,7 @@
 	}
 	return &Journal{
 		ledger: ledger, shard: shard, epoch: epoch, revision: result.Revision,
-		fence: uint64(result.Revision),
+		fence: uint64(result.Revision), handedOver: handedOver,
 	}, nil
 }
 
@@ -243,10 +248,18 @@
 // Epoch returns the number of this ownership.
 func (j *Journal) Epoch() uint64 { return j.epoch.Number }
 
+// HandedOver reports whether the owner before has given the shard up, and acts no more: no answer to a
+// release that was lost is taken for one.
+func (j *Journal) HandedOver() bool { return j.handedOver }
+
 // Store writes a change, again after lost answers, until it is known to be stored. attempt is told of
 // every failure. Errors: LeaseLost when another owner has taken over, BadMessage, and ctx's.
 func (j *Journal) Store(ctx context.Context, write Write, attempt func(error)) error {
-	next := j.epoch
+	return j.store(ctx, j.epoch, write, attempt)
+}
+
+// store writes a change with the next epoch.
+func (j *Journal) store(ctx context.Context, next Epoch, write Write, attempt func(error)) error {
 	next.Write++
 	transaction := apstore.Transaction{
 		Conditions: []apstore.Condition{{Key: epochKey(j.shard), Revision: j.revision}},
@@ -293,7 +306,9 @@
 
 // Release gives the shard up, so that another entry can claim it at once.
 func (j *Journal) Release(ctx context.Context) error {
-	return j.Store(ctx, Write{Removals: []apfleet.Key{OwnerKey(j.shard)}}, func(error) {})
+	last := j.epoch
+	last.Released = true
+	return j.store(ctx, last, Write{Removals: []apfleet.Key{OwnerKey(j.shard)}}, func(error) {})
 }
 
 // Saved is a job with its progress.
--- /dev/null
+++ b/pkg/aplease/permit_test.go
@@ -0,0 +1,48 @@
+package aplease_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"auburnport/pkg/apcode"
+	"auburnport/pkg/aplease"
+)
+
+const (
+	ttl    = 1500 * time.Millisecond
+	margin = 700 * time.Millisecond
+)
+
+// A permit counts from before the request was sent, however late its answer came, and a lease that was lost
+// permits nothing even when a late answer says that it was renewed.
+func TestPermitEndsBeforeTheLease(t *testing.T) {
+	now := time.Hour
+	permit := aplease.NewPermit(func() time.Duration { return now })
+	assert.Equal(t, apcode.Of(permit.Check(0)), apcode.PermitExpired)
+	asked := permit.Asked()
+	now += 600 * time.Millisecond
+	permit.Extend(asked, ttl)
+	assert.NilError(t, permit.Check(margin))
+	now += 201 * time.Millisecond
+	assert.Equal(t, apcode.Of(permit.Check(margin)), apcode.PermitExpired)
+	assert.NilError(t, permit.Check(0))
+	permit.Extend(permit.Asked(), ttl)
+	assert.NilError(t, permit.Check(margin))
+	permit.Extend(asked, ttl)
+	assert.NilError(t, permit.Check(margin), "an older answer shortens nothing")
+	permit.End()
+	permit.Extend(permit.Asked(), ttl)
+	assert.Equal(t, apcode.Of(permit.Check(0)), apcode.PermitExpired)
+}
+
+func TestZeroPermitPermitsNothing(t *testing.T) {
+	var permit aplease.Permit
+	assert.Equal(t, apcode.Of(permit.Check(0)), apcode.PermitExpired)
+}
+
+func TestBoottimeRises(t *testing.T) {
+	before := aplease.Boottime()
+	assert.Assert(t, aplease.Boottime() >= before)
+}
--- a/pkg/apscheduler/report.go
+++ b/pkg/apscheduler/report.go
@@ -154,6 +154,8 @@
 		s.log("OrderFailed", run, id, map[string]any{"Code": uint16(code), "Stop": stop, "Attempt": o.attempts, "Error": err})
 	}
 	switch {
+	case code == apcode.PermitExpired:
+		// Not sent: sent again like an order without an answer, unless a successor has taken over.
 	case code == apcode.WorkerSilent:
 		o.silent = true
 	case stop:
