--- a/cmd/auburnport-node/main.go
+++ b/cmd/auburnport-node/main.go
@@ -22,9 +22,7 @@
 const (
 	// memoryShare is the part of the machine's memory limit that the runtime aims at.
 	memoryShare = 0.5
-	// collectAt is the growth of the heap, in percent, at which garbage is collected.
-	collectAt = 50
-	megabyte  = 1 << 20
+	megabyte    = 1 << 20
 	// lookEvery is how often the settings file is looked at: it may change without a signal.
 	lookEvery = 3 * time.Second
 )
@@ -45,7 +43,6 @@
 	if err != nil {
 		return err
 	}
-	debug.SetGCPercent(collectAt)
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory*megabyte)))
 	lines := aplog.NewAsync()
 	logger, err := aplog.New(lines, level, aplog.FormatText)
--- a/internal/aplog/aplog.go
+++ b/internal/aplog/aplog.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"reflect"
 	"slices"
 	"strconv"
 	"strings"
@@ -21,7 +22,7 @@
 	FormatJSON = "json"
 )
 
-// Event receives one decision: its name, and its inputs and outcome by name.
+// Event receives one decision: its name, and its inputs and outcome by name. It keeps the fields.
 type Event func(event string, fields map[string]any)
 
 // New returns a logger at a level and in a format. Errors carry BadValue.
@@ -79,9 +80,33 @@
 	buffer.WriteByte(' ')
 	buffer.WriteString(key)
 	buffer.WriteByte('=')
-	text := fmt.Sprint(value)
+	text := textOf(value)
 	if text == "" || strings.ContainsAny(text, " =\"\n\r\t") {
 		text = strconv.Quote(text)
 	}
 	buffer.WriteString(text)
 }
+
+// textOf is fmt.Sprint, quicker for the kinds of most fields.
+func textOf(value any) string {
+	switch v := value.(type) {
+	case string:
+		return v
+	case error:
+		return v.Error()
+	case fmt.Stringer:
+		return v.String()
+	case int:
+		return strconv.Itoa(v)
+	case int64:
+		return strconv.FormatInt(v, 10)
+	case uint64:
+		return strconv.FormatUint(v, 10)
+	case bool:
+		return strconv.FormatBool(v)
+	}
+	if v := reflect.ValueOf(value); v.Kind() == reflect.String {
+		return v.String()
+	}
+	return fmt.Sprint(value)
+}
--- a/internal/apnode/apnode.go
+++ b/internal/apnode/apnode.go
@@ -44,8 +44,9 @@
 	closeTime = 2 * time.Second
 	// metricsOffset is the metrics port, counted from the first free one.
 	metricsOffset = 5
-	// workerConnections bounds the connections of this entry to one worker.
-	workerConnections = 6
+	// workerConnections bounds the connections of this entry to one worker: a report that waits takes one,
+	// orders share the others. Each costs two goroutines, and opening it as much as several orders.
+	workerConnections = 3
 	// leaseShare is the part of the longest lease that a worker's lease uses at most.
 	leaseShare = 0.8
 	// usualLease outlasts a takeover, and is short enough to place the tasks of a lost worker again
@@ -72,6 +73,7 @@
 	callers       *apadapter.Callers
 	member        *apmember.Member
 	table         atomic.Pointer[apqueue.Table]
+	collection    collection
 }
 
 // Reload applies the settings file when it has changed, and logs what it did: also without a change when
@@ -99,6 +101,7 @@
 
 // Run serves until ctx ends, then leaves: shards first, callers last.
 func (n *Node) Run(ctx context.Context) error {
+	n.collection.count(0)
 	servers, err := n.listen(ctx)
 	if err != nil {
 		return err
@@ -235,6 +238,7 @@
 
 // own runs a shard that this entry has claimed.
 func (n *Node) own(ctx context.Context, shard apjournal.Shard, journal *apjournal.Journal, permit *aplease.Permit) error {
+	defer n.collection.own()()
 	if shard == apjournal.Machines {
 		return n.control(ctx, journal, permit)
 	}
--- a/internal/apnode/observe.go
+++ b/internal/apnode/observe.go
@@ -37,24 +37,29 @@
 
 func (r *reporter) logEvent(event string, fields map[string]any) {
 	metrics.GetOrRegisterCounter("event."+event, r.metrics).Inc(1)
-	entry := logrus.Fields{"Event": event}
+	if fields == nil {
+		fields = make(map[string]any)
+	}
 	for key, value := range fields {
-		if value != nil {
-			entry[key] = value
+		if value == nil {
+			delete(fields, key)
 		}
 	}
-	r.logger.WithFields(entry).Info()
+	fields["Event"] = event
+	// An entry of its own saves the copies that WithFields makes.
+	entry := logrus.Entry{Logger: r.logger, Data: fields}
+	entry.Info()
 }
 
 func (r *reporter) logRequest(event string, id apjob.ID, err error, fields map[string]any) {
-	entry := map[string]any{"Job": id, "Code": uint16(apcode.Of(err)), "SettingsVersion": r.version.Load()}
-	for key, value := range fields {
-		entry[key] = value
+	if fields == nil {
+		fields = make(map[string]any)
 	}
+	fields["Job"], fields["Code"], fields["SettingsVersion"] = id, uint16(apcode.Of(err)), r.version.Load()
 	if err != nil {
-		entry["Error"] = err
+		fields["Error"] = err
 	}
-	r.logEvent(event, entry)
+	r.logEvent(event, fields)
 }
 
 // Samples of a histogram of durations.
--- a/internal/apowner/apowner.go
+++ b/internal/apowner/apowner.go
@@ -91,10 +91,13 @@
 	config Config
 	shard  *apscheduler.Shard
 	events chan func(now time.Time)
-	// orders runs orders, a bounded number at once; calls runs the rest.
-	orders *errgroup.Group
 	calls  *errgroup.Group
-	held   map[apjob.WorkerID]bool
+	// underWay counts the orders that wait for their answer; ordersFull tells that more are due.
+	underWay   int
+	ordersFull bool
+	held       map[apjob.WorkerID]bool
+	// holdDue tells that there may be workers that are not held.
+	holdDue bool
 	// table is the settings that the shard has.
 	table *apqueue.Table
 	// restUntil is when the next step may be taken.
@@ -109,8 +112,11 @@
 	waiting   map[apjob.Queue]int
 	waitingAt time.Time
 	retired   map[apjob.ID]time.Time
-	fatal     error
-	stopping  bool
+	// expired are the retired jobs whose end need not be shown any longer, as of purgedAt.
+	expired  []apjob.ID
+	purgedAt time.Time
+	fatal    error
+	stopping bool
 	// questions wait for the advisor, which answers one at a time.
 	questions []apscheduler.Question
 	asking    bool
@@ -155,8 +161,7 @@
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, inner := errgroup.WithContext(inner)
-	o.orders, o.calls = &errgroup.Group{}, &errgroup.Group{}
-	o.orders.SetLimit(maxOrders)
+	o.calls = &errgroup.Group{}
 	group.Go(func() error { return o.followInbox(inner) })
 	group.Go(func() error { return o.followWorkers(inner) })
 	group.Go(func() error { return o.followDisruptions(inner) })
@@ -165,7 +170,6 @@
 		return o.loop(ctx, inner)
 	})
 	err = group.Wait()
-	_ = o.orders.Wait()
 	_ = o.calls.Wait()
 	return err
 }
@@ -222,6 +226,7 @@
 		case <-ticker.C:
 			o.setQueues()
 			o.cordon(time.Now())
+			o.holdDue = true
 		case <-rested.C:
 		}
 		if o.fatal != nil {
@@ -259,13 +264,20 @@
 	o.store(ctx, now)
 	o.send(ctx, now)
 	o.ask(ctx)
-	o.hold(ctx)
+	if o.holdDue {
+		o.holdDue = false
+		o.hold(ctx)
+	}
 	o.report()
 }
 
 func (o *Owner) report() {
 	for _, event := range o.shard.TakeEvents() {
-		fields := map[string]any{"Shard": o.config.Shard}
+		fields := event.Fields
+		if fields == nil {
+			fields = make(map[string]any)
+		}
+		fields["Shard"] = o.config.Shard
 		if event.Run.Task.Job != "" {
 			fields["Job"] = event.Run.Task.Job
 		}
@@ -275,9 +287,6 @@
 		if event.Worker != "" {
 			fields["Worker"] = event.Worker
 		}
-		for key, value := range event.Fields {
-			fields[key] = value
-		}
 		o.config.Log(event.What, fields)
 	}
 }
--- a/internal/apowner/store.go
+++ b/internal/apowner/store.go
@@ -25,7 +25,7 @@
 		counted = !maps.Equal(waiting, o.waiting)
 		o.waitingAt = now
 	}
-	purge := o.purge()
+	purge := o.purge(now)
 	pool, accounted := o.account(now)
 	if !o.shard.BatchDue() && !counted && !accounted && len(purge) == 0 {
 		return
@@ -99,15 +99,25 @@
 // maxPurge bounds the removals that share a write with a batch.
 const maxPurge = 2
 
+// purgeGap is how often jobs are looked for whose end need not be shown any longer.
+const purgeGap = time.Second
+
 // purge returns the keys of jobs whose end need not be shown any longer.
-func (o *Owner) purge() []apfleet.Key {
-	var keys []apfleet.Key
-	for id, ended := range o.retired {
-		if len(keys) < maxPurge && time.Since(ended) > retention {
-			keys = append(keys, apjournal.ProgressKey(o.config.Shard, id))
-			o.forget(id)
+func (o *Owner) purge(now time.Time) []apfleet.Key {
+	if len(o.expired) == 0 && now.Sub(o.purgedAt) >= purgeGap {
+		o.purgedAt = now
+		for id, ended := range o.retired {
+			if time.Since(ended) > retention {
+				o.expired = append(o.expired, id)
+			}
 		}
 	}
+	var keys []apfleet.Key
+	for _, id := range o.expired[:min(maxPurge, len(o.expired))] {
+		keys = append(keys, apjournal.ProgressKey(o.config.Shard, id))
+		o.forget(id)
+	}
+	o.expired = o.expired[len(keys):]
 	return keys
 }
 
--- a/internal/apowner/workers.go
+++ b/internal/apowner/workers.go
@@ -61,6 +61,7 @@
 }
 
 func (o *Owner) register(update apstore.Update, now time.Time) {
+	o.holdDue = true
 	present := make(map[apjob.WorkerID]bool)
 	for _, event := range update.Events {
 		id := o.config.Registry.ID(event.Value.Key)
@@ -184,18 +185,23 @@
 
 // send carries out the orders that are due.
 func (o *Owner) send(ctx context.Context, now time.Time) {
-	for _, order := range o.shard.Orders(now) {
-		began := o.orders.TryGo(func() error {
+	orders := o.shard.NextOrders(now, maxOrders-o.underWay)
+	o.underWay += len(orders)
+	for _, order := range orders {
+		o.calls.Go(func() error {
 			began := time.Now()
 			id, run, stop, err := o.carryOut(ctx, order)
 			o.config.Observe("order", time.Since(began))
-			o.post(ctx, func(now time.Time) { o.answered(id, run, stop, err, now) })
+			o.post(ctx, func(now time.Time) {
+				o.underWay--
+				o.answered(id, run, stop, err, now)
+			})
 			return nil
 		})
-		if !began {
-			o.config.Log("OrdersDelayed", map[string]any{"Shard": o.config.Shard, "UnderWay": maxOrders})
-			return
-		}
+	}
+	if full := o.underWay >= maxOrders; full != o.ordersFull {
+		o.ordersFull = full
+		o.config.Log("OrdersDelayed", map[string]any{"Shard": o.config.Shard, "UnderWay": o.underWay, "Delayed": full})
 	}
 }
 
--- a/pkg/apscheduler/apscheduler.go
+++ b/pkg/apscheduler/apscheduler.go
@@ -83,7 +83,11 @@
 	since   time.Time
 	jobs    map[apjob.ID]*job
 	workers map[apjob.WorkerID]*worker
-	queues  map[apjob.Queue]Queue
+	// byID holds the workers in the order of their ids; nil when it must be made anew.
+	byID []*worker
+	// chain is scratch space for the longest chain of a job.
+	chain  []time.Duration
+	queues map[apjob.Queue]Queue
 	// cordoned workers get no new runs and are emptied, in the order of the numbers; cordons is the
 	// highest.
 	cordoned map[apjob.WorkerID]int
@@ -94,6 +98,8 @@
 	dirty []apjob.ID
 	// active holds the jobs that are not final.
 	active map[apjob.ID]*job
+	// backfill holds the jobs with steps that fill up workers.
+	backfill map[apjob.ID]bool
 	// learnt holds the mean duration of the tasks of a queue, in seconds.
 	learnt map[apjob.Queue]*average
 	events []Event
@@ -109,7 +115,7 @@
 	What   string
 	Run    apjob.RunKey
 	Worker apjob.WorkerID
-	// Fields are further inputs of the decision.
+	// Fields are further inputs of the decision. The receiver may add to them.
 	Fields map[string]any
 }
 
@@ -120,14 +126,15 @@
 		opt(&options)
 	}
 	return &Shard{
-		options: options,
-		fence:   fence,
-		jobs:    make(map[apjob.ID]*job),
-		active:  make(map[apjob.ID]*job),
-		workers: make(map[apjob.WorkerID]*worker),
-		queues:  make(map[apjob.Queue]Queue),
-		learnt:  make(map[apjob.Queue]*average),
-		advice:  make(map[apjob.StepID]*advice),
+		options:  options,
+		fence:    fence,
+		jobs:     make(map[apjob.ID]*job),
+		active:   make(map[apjob.ID]*job),
+		backfill: make(map[apjob.ID]bool),
+		workers:  make(map[apjob.WorkerID]*worker),
+		queues:   make(map[apjob.Queue]Queue),
+		learnt:   make(map[apjob.Queue]*average),
+		advice:   make(map[apjob.StepID]*advice),
 	}
 }
 
--- a/pkg/apscheduler/bench_test.go
+++ b/pkg/apscheduler/bench_test.go
@@ -5,29 +5,12 @@
 	"testing"
 	"time"
 
-	"auburnport/pkg/apjob"
 	"auburnport/pkg/apscheduler"
-	"auburnport/pkg/apworker"
 )
 
 // crowded returns a full pool with a backlog: the load of a burst on a large pool.
 func crowded(workers, jobs int) *apscheduler.Shard {
-	s := apscheduler.New(1)
-	for n := range workers {
-		id := apjob.WorkerID(fmt.Sprintf("w%03d", n))
-		s.Register(workerInfo(id, 32000), start)
-		s.Report(id, apworker.Report{Clock: time.Second}, start, start)
-	}
-	for n := range jobs {
-		s.Submit(&apjob.Job{
-			ID: apjob.ID(fmt.Sprintf("%016x", n)), Queue: "q", Submitted: start,
-			Steps: []apjob.Step{
-				{Count: 8, Need: apjob.Resources{CPU: 3100, Memory: 3200}, Estimate: time.Second},
-				{Count: 4, Need: apjob.Resources{CPU: 3100, Memory: 3200}, Estimate: time.Second, After: []int{0}},
-			},
-		}, 0, start)
-	}
-	s.Plan(start, start)
+	s := crowdedPlan(workers, jobs)
 	storeAll(s)
 	for _, order := range s.Orders(start) {
 		if o, ok := order.(apscheduler.Start); ok {
--- a/pkg/apscheduler/job.go
+++ b/pkg/apscheduler/job.go
@@ -155,6 +155,9 @@
 
 func (s *Shard) add(j *job) {
 	s.jobs[j.def.ID] = j
+	if slices.ContainsFunc(j.def.Steps, func(step apjob.Step) bool { return step.Backfill }) {
+		s.backfill[j.def.ID] = true
+	}
 	j.recount()
 	if !j.state().Final() {
 		s.active[j.def.ID] = j
@@ -206,7 +209,7 @@
 		w.release(run)
 		s.taskEnded(run, w.info.ID, apworker.EndStopped, o.checkpoint, now)
 	default:
-		o.phase = phaseStopping
+		w.move(o, phaseStopping)
 		o.sentAt = time.Time{}
 		o.attempts = 0
 	}
@@ -360,5 +363,6 @@
 func (s *Shard) Forget(id apjob.ID) {
 	if j := s.jobs[id]; j != nil && j.state().Final() && j.running == 0 {
 		delete(s.jobs, id)
+		delete(s.backfill, id)
 	}
 }
--- a/pkg/apscheduler/learn.go
+++ b/pkg/apscheduler/learn.go
@@ -103,7 +103,7 @@
 // setDue works out when a job should be done and when it earns nothing more.
 func (s *Shard) setDue(j *job) {
 	queue := s.queues[j.def.Queue]
-	longest := longestChain(j.def, func(n int) time.Duration { return s.estimate(j.def, &j.def.Steps[n]) })
+	longest := s.longestChain(j.def, func(n int) time.Duration { return s.estimate(j.def, &j.def.Steps[n]) })
 	allowed := time.Duration(queue.Stretch*float64(longest)) + queue.Slack
 	j.due = j.seen.Add(allowed)
 	j.lateBy = j.seen.Add(lateFactor * allowed)
@@ -112,7 +112,7 @@
 // left returns the longest chain of work and the core-seconds that an occurrence still needs.
 func (s *Shard) left(j *job, occurrence *apjob.Occurrence) (time.Duration, float64) {
 	work := 0.0
-	longest := longestChain(j.def, func(n int) time.Duration {
+	longest := s.longestChain(j.def, func(n int) time.Duration {
 		undone := 0
 		for k := range occurrence.Steps[n] {
 			if !occurrence.Steps[n][k].Done {
@@ -132,8 +132,9 @@
 
 // longestChain returns the longest time through the steps of a job, each of which takes a time. It asks
 // for the time of each step once.
-func longestChain(def *apjob.Job, takes func(step int) time.Duration) time.Duration {
-	chain := make([]time.Duration, len(def.Steps))
+func (s *Shard) longestChain(def *apjob.Job, takes func(step int) time.Duration) time.Duration {
+	s.chain = append(s.chain[:0], make([]time.Duration, len(def.Steps))...)
+	chain := s.chain
 	var longest time.Duration
 	for n := range def.Steps {
 		for _, before := range def.Steps[n].After {
--- /dev/null
+++ b/pkg/apscheduler/orders_test.go
@@ -0,0 +1,52 @@
+package apscheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"auburnport/pkg/apjob"
+	"auburnport/pkg/apscheduler"
+	"auburnport/pkg/apworker"
+)
+
+// A turn places more tasks at once than orders can be under way. Those that could not be sent counted as sent
+// without an answer, and waited 0.3 s and more for another try; they are due at once.
+func TestOrdersBeyondTheLimitStayDue(t *testing.T) {
+	s := crowdedPlan(20, 40)
+	storeAll(s)
+	first := starts(s.NextOrders(start, 30))
+	assert.Equal(t, len(first), 30)
+	now := start.Add(time.Millisecond)
+	rest := starts(s.NextOrders(now, 1000))
+	assert.Assert(t, len(rest) > 30, "%d orders", len(rest))
+	sent := make(map[apjob.RunKey]bool)
+	for _, run := range append(first, rest...) {
+		assert.Assert(t, !sent[run], "%v was ordered twice", run)
+		sent[run] = true
+	}
+	assert.Equal(t, len(starts(s.NextOrders(now, 1000))), 0)
+}
+
+// crowdedPlan returns a pool that has just placed the first tasks of a burst.
+func crowdedPlan(workers, jobs int) *apscheduler.Shard {
+	s := apscheduler.New(1)
+	for n := range workers {
+		id := apjob.WorkerID(fmt.Sprintf("w%03d", n))
+		s.Register(workerInfo(id, 32000), start)
+		s.Report(id, apworker.Report{Clock: time.Second}, start, start)
+	}
+	for n := range jobs {
+		s.Submit(&apjob.Job{
+			ID: apjob.ID(fmt.Sprintf("%016x", n)), Queue: "q", Submitted: start,
+			Steps: []apjob.Step{
+				{Count: 8, Need: apjob.Resources{CPU: 3100, Memory: 3200}, Estimate: time.Second},
+				{Count: 4, Need: apjob.Resources{CPU: 3100, Memory: 3200}, Estimate: time.Second, After: []int{0}},
+			},
+		}, 0, start)
+	}
+	s.Plan(start, start)
+	return s
+}
--- a/pkg/apscheduler/place.go
+++ b/pkg/apscheduler/place.go
@@ -96,10 +96,11 @@
 
 // placeStep assigns the waiting tasks of a step, all of them when it is a gang, and reports whether none
 // is left waiting.
-func (s *Shard) placeStep(c *candidate, open []*worker, now time.Time) bool {
+func (s *Shard) placeStep(c *candidate, open []*worker, full *shortage, now time.Time) bool {
 	j := c.job
 	step := &j.def.Steps[c.step]
-	if !anyFits(open, step.Booked()) {
+	if need := step.Booked(); full.covers(need) || !anyFits(open, need) {
+		full.add(need)
 		return false
 	}
 	tasks := j.occurrence(c.occurrence).Steps[c.step]
@@ -177,6 +178,21 @@
 	}
 }
 
+// shortage remembers which needs found no room on any open worker. Within a plan room only shrinks, so that
+// whatever needs as much or more finds none either: on a full pool hundreds of steps wait.
+type shortage struct{ needs []apjob.Resources }
+
+func (f *shortage) covers(need apjob.Resources) bool {
+	return slices.ContainsFunc(f.needs, need.Fits)
+}
+
+func (f *shortage) add(need apjob.Resources) {
+	if f.covers(need) {
+		return
+	}
+	f.needs = append(slices.DeleteFunc(f.needs, func(larger apjob.Resources) bool { return larger.Fits(need) }), need)
+}
+
 func anyFits(open []*worker, need apjob.Resources) bool {
 	return slices.ContainsFunc(open, func(w *worker) bool { return w.info.Capacity.Sub(w.used).Fits(need) })
 }
--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -81,12 +82,13 @@
 	}
 	promoteGang(candidates)
 	slices.SortFunc(candidates, compareCandidates)
+	var full shortage
 	for i := range candidates {
 		if len(open) == 0 {
 			return
 		}
 		c := &candidates[i]
-		if s.placeStep(c, open, now) {
+		if s.placeStep(c, open, &full, now) {
 			continue
 		}
 		switch c.urgency {
@@ -202,13 +204,13 @@
 
 // openWorkers returns the workers that may get new runs now.
 func (s *Shard) openWorkers(now time.Time) []*worker {
-	var open []*worker
-	for _, w := range s.workers {
+	all := s.ordered()
+	open := make([]*worker, 0, len(all))
+	for _, w := range all {
 		if s.usable(w, now) && w.foreign == 0 && !now.Before(w.retryAt) {
 			open = append(open, w)
 		}
 	}
-	slices.SortFunc(open, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
 	return open
 }
 
@@ -234,16 +236,23 @@
 // has come already.
 const scheduledSlack = time.Minute
 
-// Orders returns the orders that are due now: starts of stored runs, stops, and those that went
-// without an answer.
-func (s *Shard) Orders(now time.Time) []Order {
-	orders := s.paces
-	s.paces = nil
+// Orders returns all orders that are due now.
+func (s *Shard) Orders(now time.Time) []Order { return s.NextOrders(now, math.MaxInt) }
+
+// NextOrders returns at most limit orders that are due now: starts of stored runs, stops, and those that
+// went without an answer. Those that are left over stay due, and count as not sent.
+func (s *Shard) NextOrders(now time.Time, limit int) []Order {
+	n := min(limit, len(s.paces))
+	orders := s.paces[:n:n]
+	s.paces = s.paces[n:]
 	for _, w := range s.workers {
-		if !w.info.Address.IsValid() {
+		if w.unsettled == 0 || !w.info.Address.IsValid() {
 			continue
 		}
 		for run, o := range w.occupants {
+			if len(orders) >= limit {
+				return orders
+			}
 			if o.phase == phasePlanned || o.phase == phaseRunning || !o.dueAt(s.options).Before(now) {
 				continue
 			}
--- a/pkg/apscheduler/throttle.go
+++ b/pkg/apscheduler/throttle.go
@@ -32,6 +32,9 @@
 
 // throttle lets backfill tasks stand still beside a serving task whose latency nears its target.
 func (s *Shard) throttle() {
+	if len(s.backfill) == 0 {
+		return
+	}
 	for _, w := range s.workers {
 		load := s.servingLoad(w)
 		for run, o := range w.occupants {
--- a/pkg/apscheduler/worker.go
+++ b/pkg/apscheduler/worker.go
@@ -1,6 +1,9 @@
 package apscheduler
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"auburnport/pkg/apjob"
@@ -21,6 +24,14 @@
 	phaseStopping
 )
 
+// unsettled is 1 for the phases in which orders may be due.
+func (p phase) unsettled() int {
+	if p == phaseOrdered || p == phaseStopping {
+		return 1
+	}
+	return 0
+}
+
 // occupant is a run that takes room on a worker, or may.
 type occupant struct {
 	need  apjob.Resources
@@ -63,6 +74,8 @@
 	silentEnd time.Time
 	occupants map[apjob.RunKey]*occupant
 	used      apjob.Resources
+	// unsettled counts the occupants that orders may be due for: those ordered or stopping.
+	unsettled int
 	// foreign counts runs on the worker that the shard doesn't know; their size is unknown.
 	foreign int
 	// applied is the highest end that was applied, stored the highest that is stored.
@@ -89,11 +102,19 @@
 func (w *worker) book(run apjob.RunKey, o *occupant) {
 	w.occupants[run] = o
 	w.used = w.used.Add(o.need)
+	w.unsettled += o.phase.unsettled()
+}
+
+// move sets the phase of an occupant that is booked.
+func (w *worker) move(o *occupant, to phase) {
+	w.unsettled += to.unsettled() - o.phase.unsettled()
+	o.phase = to
 }
 
 func (w *worker) release(run apjob.RunKey) {
 	if o, ok := w.occupants[run]; ok {
 		w.used = w.used.Sub(o.need)
+		w.unsettled -= o.phase.unsettled()
 		delete(w.occupants, run)
 	}
 }
@@ -167,10 +188,25 @@
 		longest := s.options.MaxLease + s.options.StopTime
 		w.silentEnd = now.Add(longest + time.Duration(float64(longest)*s.options.ClockDrift))
 		s.workers[id] = w
+		s.byID = nil
 	}
 	return w
 }
 
+// remove forgets a worker.
+func (s *Shard) remove(id apjob.WorkerID) {
+	delete(s.workers, id)
+	s.byID = nil
+}
+
+// ordered returns all workers in the order of their ids.
+func (s *Shard) ordered() []*worker {
+	if s.byID == nil {
+		s.byID = slices.SortedFunc(maps.Values(s.workers), func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	}
+	return s.byID
+}
+
 // Workers returns the workers that must be held: those that are registered or may run something.
 func (s *Shard) Workers() []apworker.Target {
 	var targets []apworker.Target
@@ -268,7 +304,7 @@
 	}
 	s.clear(w, "Gone", now)
 	if len(w.occupants) == 0 {
-		delete(s.workers, id)
+		s.remove(id)
 	}
 }
 
@@ -277,7 +313,7 @@
 	for id, w := range s.workers {
 		if !w.registered && len(w.occupants) == 0 {
 			if w.reached || now.After(w.silentEnd) {
-				delete(s.workers, id)
+				s.remove(id)
 			}
 			continue
 		}
