Ends of a step share a record on a large pool; a step follows each write at once

Change: ends that unlock nothing wait up to 0.3 ms a worker to be stored with others of their job; the worker keeps them until then. A step follows each write without a rest.

--- a/internal/apowner/store.go
+++ b/internal/apowner/store.go
@@ -69,6 +69,8 @@
 func (o *Owner) stored(batch apscheduler.Batch, err error, now time.Time) {
 	o.storing = false
 	o.storedAt = now
+	// Runs wait to be ordered, and the next batch to be stored.
+	o.restUntil = time.Time{}
 	if err != nil {
 		o.fatal = err
 		return
--- a/pkg/apjob/progress.go
+++ b/pkg/apjob/progress.go
@@ -86,7 +86,7 @@
 // Done reports whether all tasks are done.
 func (o *Occurrence) Done() bool {
 	for n := range o.Steps {
-		if !o.stepDone(n) {
+		if !o.StepDone(n) {
 			return false
 		}
 	}
@@ -96,7 +96,7 @@
 // Ready reports whether a step has a task to start and all steps before it are done.
 func (o *Occurrence) Ready(def *Job, step int) bool {
 	for _, before := range def.Steps[step].After {
-		if !o.stepDone(before) {
+		if !o.StepDone(before) {
 			return false
 		}
 	}
@@ -108,7 +108,8 @@
 	return false
 }
 
-func (o *Occurrence) stepDone(step int) bool {
+// StepDone reports whether all tasks of a step are done.
+func (o *Occurrence) StepDone(step int) bool {
 	for k := range o.Steps[step] {
 		if !o.Steps[step][k].Done {
 			return false
--- a/pkg/apscheduler/apscheduler.go
+++ b/pkg/apscheduler/apscheduler.go
@@ -64,6 +64,12 @@
 	Retired bool
 }
 
+// deferredJob is a job whose progress is to be stored at a time, unless it was stored before.
+type deferredJob struct {
+	id apjob.ID
+	at time.Time
+}
+
 type planned struct {
 	run    apjob.RunKey
 	worker apjob.WorkerID
@@ -96,6 +102,8 @@
 	avoided map[apjob.WorkerID]bool
 	// dirty lists the jobs whose progress is not stored yet, oldest first.
 	dirty []apjob.ID
+	// deferred lists the jobs of which only ends that unlock nothing wait to be stored, oldest first.
+	deferred []deferredJob
 	// active holds the jobs that are not final.
 	active map[apjob.ID]*job
 	// backfill holds the jobs with steps that fill up workers.
--- a/pkg/apscheduler/job.go
+++ b/pkg/apscheduler/job.go
@@ -21,6 +21,8 @@
 	due    time.Time
 	lateBy time.Time
 	dirty  bool
+	// deferred tells that the job is among those whose record may wait.
+	deferred bool
 	// waiting counts the tasks that could not be started yet; 0 skips the job in a plan.
 	waiting int
 	// running counts the tasks that are on a worker.
@@ -215,7 +217,32 @@
 	}
 }
 
+// endShare times the number of workers is how long the end of a task may wait to be stored when nothing
+// depends on it: on a large pool under a burst the ends of one step share a record. It is less than the time
+// after which a worker is asked again.
+const endShare = 300 * time.Microsecond
+
+// markDeferred makes a job's progress be stored in a while.
+func (s *Shard) markDeferred(j *job, now time.Time) {
+	if !j.dirty && !j.deferred {
+		j.deferred = true
+		s.deferred = append(s.deferred, deferredJob{id: j.def.ID, at: now.Add(time.Duration(len(s.workers)) * endShare)})
+	}
+}
+
+// ripen makes the deferred records due whose time has come.
+func (s *Shard) ripen(now time.Time) {
+	n := 0
+	for ; n < len(s.deferred) && !now.Before(s.deferred[n].at); n++ {
+		if j := s.jobs[s.deferred[n].id]; j != nil && j.deferred {
+			s.markDirty(j)
+		}
+	}
+	s.deferred = s.deferred[n:]
+}
+
 func (s *Shard) markDirty(j *job) {
+	j.deferred = false
 	if !j.dirty {
 		j.dirty = true
 		s.dirty = append(s.dirty, j.def.ID)
@@ -292,7 +319,11 @@
 	}
 	j.started = j.started || t.Tried()
 	j.recount()
-	s.markDirty(j)
+	if how == apworker.EndDone && !j.occurrence(run.Task.Occurrence).StepDone(run.Task.Step) {
+		s.markDeferred(j, now)
+	} else {
+		s.markDirty(j)
+	}
 	s.judge(j, run.Task, how, now)
 	return true
 }
--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -72,6 +72,7 @@
 		s.since = now
 	}
 	s.expire(now)
+	s.ripen(now)
 	s.throttle()
 	s.beginDue(wall)
 	open := s.openWorkers(now)
