Every machine that is ordered has a record in the store; entries settle for 0.5 s

Change: spare machines get a record just before their order, and the record of any order stays for LeaseMs; a successor waits for just these machines. An entry looks around for 0.5 s instead of 0.8 s before it claims.

--- a/internal/apcontroller/apcontroller.go
+++ b/internal/apcontroller/apcontroller.go
@@ -85,10 +85,10 @@
 	tables  apmachine.Tables
 	started time.Time
 	listed  time.Time
-	// firstListed is when the machines were first listed; inherited holds those that an earlier
-	// holder had begun to empty.
-	firstListed time.Time
-	inherited   map[apmachine.Name]bool
+	// inherited holds the machines that an earlier holder had begun to empty, or ordered a moment ago.
+	inherited map[apmachine.Name]bool
+	// records holds until when the records of orders that were carried out are kept for a successor.
+	records map[apmachine.Name]time.Time
 	// carried holds the machines whose order succeeded, until they are back.
 	carried map[apmachine.Name]carried
 	// retryAt holds back orders that failed.
@@ -106,8 +106,8 @@
 func New(config Config) *Controller {
 	return &Controller{
 		config: config, events: make(chan func(), 64),
-		inherited: make(map[apmachine.Name]bool),
-		carried:   make(map[apmachine.Name]carried), retryAt: make(map[apmachine.Name]time.Time), waves: make(map[apfleet.Key]int),
+		inherited: make(map[apmachine.Name]bool), records: make(map[apmachine.Name]time.Time),
+		carried: make(map[apmachine.Name]carried), retryAt: make(map[apmachine.Name]time.Time), waves: make(map[apfleet.Key]int),
 		awaiting: make(map[apfleet.ServiceName][]apjob.WorkerID),
 		logged:   make(map[apfleet.ServiceName][2]int),
 		tables: apmachine.Tables{
@@ -167,9 +167,13 @@
 			c.config.Log("DisruptionUnreadable", map[string]any{"Key": value.Key, "Error": err})
 			continue
 		}
+		c.inherited[d.Machine] = true
+		if d.Ordered {
+			c.records[d.Machine] = c.started.Add(c.config.OrderLease)
+			continue
+		}
 		d.Revision = value.Revision
 		c.tables.Disruptions[d.Machine] = d
-		c.inherited[d.Machine] = true
 	}
 	return nil
 }
@@ -346,9 +350,6 @@
 		return false
 	}
 	c.listed = now
-	if c.firstListed.IsZero() {
-		c.firstListed = now
-	}
 	for i := range machines {
 		m := &machines[i]
 		if away, ok := c.carried[m.Name]; ok {
--- a/internal/apcontroller/order.go
+++ b/internal/apcontroller/order.go
@@ -43,6 +43,7 @@
 
 func (c *Controller) execute(ctx context.Context, actions []apmachine.Action, now time.Time) error {
 	var write apjournal.Write
+	var records apjournal.Write
 	var opened []apmachine.Disruption
 	var orders []apmachine.Disruption
 	for _, action := range actions {
@@ -56,6 +57,7 @@
 			c.config.Log("DisruptionOpened", map[string]any{"Machine": d.Machine, "Worker": d.Worker, "Pool": d.Pool, "Wave": d.Wave, "Target": d.Target, "ListAgeMs": now.Sub(c.listed).Milliseconds()})
 			write.Puts = append(write.Puts, apstore.Put{Key: disruptionKey(d.Machine), Data: apfleet.Encode(d)})
 			opened = append(opened, d)
+			delete(c.records, d.Machine)
 		case apmachine.Close:
 			c.config.Log("DisruptionClosed", map[string]any{"Machine": action.Machine, "Why": action.Why})
 			write.Removals = append(write.Removals, disruptionKey(action.Machine))
@@ -63,6 +65,7 @@
 		case apmachine.Carry:
 			if len(orders) < maxStepOrders && now.After(c.retryAt[action.Disruption.Machine]) && c.mayOrder(action.Disruption.Machine, now) {
 				orders = append(orders, action.Disruption)
+				c.recordSpare(action.Disruption, &records, now)
 			}
 		case apmachine.Complete:
 			finished := c.tables.Finished[action.Wave]
@@ -73,6 +76,7 @@
 			write.Puts = append(write.Puts, c.status(action.Wave, true).Puts...)
 		}
 	}
+	c.dropRecords(&write, now)
 	if len(write.Puts)+len(write.Removals) > 0 {
 		if err := c.write(ctx, write); err != nil {
 			return err
@@ -82,24 +86,34 @@
 		d.Revision = c.config.Journal.Revision()
 		c.tables.Disruptions[d.Machine] = d
 	}
+	if err := c.write(ctx, records); err != nil {
+		return err
+	}
 	return c.order(ctx, orders)
 }
 
-// mayOrder holds a new holder back until its orders are far enough from those of the last one, which could
-// order only machines that it was emptying. Such an order may still come while its permit lasts, unless it
-// gave the shard up. A machine that was up when the machines were first listed was ordered, if at all,
-// before that by the time for which it was away.
+// recordSpare adds the record of an order for a machine that needs no emptying, and so has none yet.
+func (c *Controller) recordSpare(d apmachine.Disruption, write *apjournal.Write, now time.Time) {
+	if _, open := c.tables.Disruptions[d.Machine]; open {
+		return
+	}
+	d.Ordered = true
+	write.Puts = append(write.Puts, apstore.Put{Key: disruptionKey(d.Machine), Data: apfleet.Encode(d)})
+	c.records[d.Machine] = now.Add(c.config.OrderLease)
+}
+
+// mayOrder holds a new holder back until its orders are far enough from those of the last one, which ordered
+// only machines that the store has a record of. Such an order may still come while its permit lasts, unless it
+// gave the shard up.
 func (c *Controller) mayOrder(name apmachine.Name, now time.Time) bool {
-	since, wait := c.started, c.config.OrderLease
-	switch {
-	case c.config.Journal.Epoch() == 1:
+	if c.config.Journal.Epoch() == 1 || !c.inherited[name] {
 		return true
-	case c.inherited[name] && !c.config.Journal.HandedOver():
+	}
+	wait := c.config.OrderLease
+	if !c.config.Journal.HandedOver() {
 		wait += c.config.Permit
-	case !c.inherited[name] && c.tables.UpSince[name].Equal(c.firstListed):
-		since, wait = c.firstListed, wait-c.config.Away
 	}
-	return now.Sub(since) >= wait
+	return now.Sub(c.started) >= wait
 }
 
 func disruptionKey(name apmachine.Name) apfleet.Key {
@@ -170,12 +184,27 @@
 		return nil
 	}
 	if _, open := c.tables.Disruptions[d.Machine]; open {
-		write.Removals = append(write.Removals, disruptionKey(d.Machine))
+		d.Ordered = true
+		write.Puts = append(write.Puts, apstore.Put{Key: disruptionKey(d.Machine), Data: apfleet.Encode(d)})
+		c.records[d.Machine] = now.Add(c.config.OrderLease)
 		delete(c.tables.Disruptions, d.Machine)
 	}
 	return nil
 }
 
+// dropRecords adds the removal of records that tell a successor nothing any more.
+func (c *Controller) dropRecords(write *apjournal.Write, now time.Time) {
+	for name, until := range c.records {
+		if len(write.Puts)+len(write.Removals) >= maxChanges {
+			return
+		}
+		if !now.Before(until) {
+			write.Removals = append(write.Removals, disruptionKey(name))
+			delete(c.records, name)
+		}
+	}
+}
+
 func (c *Controller) row(name apmachine.Name) (int, bool) {
 	i := slices.IndexFunc(c.tables.Machines, func(m apmachine.Machine) bool { return m.Name == name })
 	return i, i >= 0
--- a/internal/apmember/apmember.go
+++ b/internal/apmember/apmember.go
@@ -42,7 +42,7 @@
 
 // DefaultOptions returns the usual options.
 func DefaultOptions() Options {
-	return Options{TTL: 1500 * time.Millisecond, Settle: 800 * time.Millisecond, Step: 300 * time.Millisecond, Tick: 50 * time.Millisecond}
+	return Options{TTL: 1500 * time.Millisecond, Settle: 500 * time.Millisecond, Step: 300 * time.Millisecond, Tick: 50 * time.Millisecond}
 }
 
 const (
--- a/internal/apowner/pool.go
+++ b/internal/apowner/pool.go
@@ -63,6 +63,10 @@
 			o.config.Log("DisruptionUnreadable", map[string]any{"Key": event.Value.Key, "Error": err})
 			continue
 		}
+		if d.Ordered {
+			o.released(event.Value.Key)
+			continue
+		}
 		if d.Pool == apfleet.ServiceName(o.config.Shard) && d.Worker != "" {
 			o.disrupted[event.Value.Key] = disruption{worker: d.Worker, revision: event.Value.Revision}
 		}
--- a/pkg/apmachine/apmachine.go
+++ b/pkg/apmachine/apmachine.go
@@ -64,6 +64,9 @@
 	// Wave is set for upkeep, Target for a move.
 	Wave   int                 `cbor:"Wave"`
 	Target apfleet.ServiceName `cbor:"Target"`
+	// Ordered tells that the order is out and nothing is left to be done: the record tells a successor that
+	// the machine was ordered a moment ago.
+	Ordered bool `cbor:"Ordered,omitempty"`
 	// Revision is where the store has the disruption; a pool names it when the worker is empty.
 	Revision apstore.Revision `cbor:"-"`
 }
