--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -77,13 +77,13 @@
 	s.beginDue(wall)
 	open := s.openWorkers(now)
 	open = s.evacuate(open, now)
-	candidates := s.candidates(now)
+	var full shortage
+	candidates := s.candidates(open, &full, now)
 	if len(candidates) == 0 {
 		return
 	}
 	promoteGang(candidates)
 	slices.SortFunc(candidates, compareCandidates)
-	var full shortage
 	for i := range candidates {
 		if len(open) == 0 {
 			return
@@ -172,10 +172,12 @@
 	}
 }
 
-func (s *Shard) candidates(now time.Time) []candidate {
+// candidates returns the steps that may start now, less those that find no room at all: on a full pool with
+// a backlog those are most. Long-running steps and gangs are among them in any case, for room is kept for them.
+func (s *Shard) candidates(open []*worker, full *shortage, now time.Time) []candidate {
 	var candidates []candidate
 	for _, j := range s.active {
-		if j.waiting == 0 {
+		if j.waiting == 0 || !s.mayFit(j, open, full) {
 			continue
 		}
 		for i := range j.progress.Occurrences {
@@ -203,6 +205,25 @@
 	return candidates
 }
 
+// mayFit reports whether a step of the job finds room on a worker, or gets room kept.
+func (s *Shard) mayFit(j *job, open []*worker, full *shortage) bool {
+	for n := range j.def.Steps {
+		step := &j.def.Steps[n]
+		if step.LongRunning || step.Gang {
+			return true
+		}
+		need := step.Booked()
+		if full.covers(need) {
+			continue
+		}
+		if anyFits(open, need) {
+			return true
+		}
+		full.add(need)
+	}
+	return false
+}
+
 // openWorkers returns the workers that may get new runs now.
 func (s *Shard) openWorkers(now time.Time) []*worker {
 	all := s.ordered()
