A panic ends one shard and not the process; an entry that can't listen fails its test at once

Decided: a shard whose code panics ends with code 7002 and its stack in the log, and the same entry claims it again after 0.3 s from what the store has; the other shards and the callers' side go on. Ending the process would take all of them down for the fault of one message. Calls to workers and the store belong to the shard's group, so that a panic in one can't leave a worker without reports.

--- a/internal/apcontroller/apcontroller.go
+++ b/internal/apcontroller/apcontroller.go
@@ -8,10 +8,9 @@
 	"strconv"
 	"time"
 
+	"auburnport/internal/apgroup"
 	"auburnport/internal/aplog"
 
-	"golang.org/x/sync/errgroup"
-
 	"auburnport/pkg/apfleet"
 	"auburnport/pkg/apjob"
 	"auburnport/pkg/apjournal"
@@ -129,7 +128,7 @@
 	})
 	inner, cancel := context.WithCancel(ctx)
 	defer cancel()
-	group, inner := errgroup.WithContext(inner)
+	group, inner := apgroup.WithContext(inner)
 	group.Go(func() error { return c.follow(inner, c.config.Waves.Prefix(), c.applyWaves) })
 	group.Go(func() error { return c.follow(inner, apjournal.PrefixPools, c.applyPools) })
 	group.Go(func() error {
--- a/internal/apcontroller/order.go
+++ b/internal/apcontroller/order.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"auburnport/internal/apgroup"
 	"auburnport/pkg/apcode"
 	"auburnport/pkg/apfleet"
 	"auburnport/pkg/apjob"
@@ -136,7 +137,7 @@
 				results[i] = apcode.Wrapf(apcode.PermitExpired, ctx.Err(), "order of %s", d.Machine)
 				return nil
 			}
-			results[i] = c.config.Machines.Carry(sending, d, c.config.Journal.Fence())
+			results[i] = apgroup.Guard(func() error { return c.config.Machines.Carry(sending, d, c.config.Journal.Fence()) })
 			return nil
 		})
 	}
--- a/internal/apmember/apmember.go
+++ b/internal/apmember/apmember.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"auburnport/internal/apgroup"
 	"auburnport/internal/aplog"
 
 	"github.com/cespare/xxhash/v2"
@@ -332,7 +333,7 @@
 	m.mu.Unlock()
 	owned.Go(func() error {
 		defer cancel()
-		err := m.own(running, shard, journal, permit)
+		err := apgroup.Guard(func() error { return m.own(running, shard, journal, permit) })
 		m.log("ShardEnded", map[string]any{"Shard": shard, "Error": err})
 		m.mu.Lock()
 		defer m.mu.Unlock()
--- a/internal/apnode/apnode.go
+++ b/internal/apnode/apnode.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"auburnport/internal/apcontroller"
+	"auburnport/internal/apgroup"
 	"auburnport/internal/apintake"
 	"auburnport/internal/apmember"
 	"auburnport/internal/apowner"
@@ -208,7 +209,11 @@
 }
 
 func (n *Node) applySettings(value apstore.Value) {
-	table, err := apadapter.ParseConfig(value.Data)
+	var table *apqueue.Table
+	err := apgroup.Guard(func() (err error) {
+		table, err = apadapter.ParseConfig(value.Data)
+		return err
+	})
 	if err != nil {
 		n.logEvent("SettingsUnreadable", map[string]any{"Revision": value.Revision, "Error": err})
 		return
--- a/internal/apnode/apnode_test.go
+++ b/internal/apnode/apnode_test.go
@@ -66,8 +66,10 @@
 // entry is one entry against the emulated platform.
 type entry struct {
 	*apemulator.Emulator
-	t        *testing.T
-	node     *apnode.Node
+	t    *testing.T
+	node *apnode.Node
+	// ended receives the error of an entry that has ended by itself.
+	ended    chan error
 	settings apadapter.Settings
 	log      lines
 	caller   *apemulator.Caller
@@ -91,7 +93,12 @@
 	e.caller = e.NewCaller()
 	ctx, stop := context.WithCancel(t.Context())
 	group := &errgroup.Group{}
-	group.Go(func() error { return e.node.Run(ctx) })
+	e.ended = make(chan error, 1)
+	group.Go(func() error {
+		err := e.node.Run(ctx)
+		e.ended <- err
+		return err
+	})
 	t.Cleanup(func() {
 		stop()
 		assert.NilError(t, group.Wait())
@@ -105,7 +112,11 @@
 // until looks again and again; the test's own limit ends it.
 func (e *entry) until(look func() bool) {
 	for !look() {
-		time.Sleep(20 * time.Millisecond)
+		select {
+		case err := <-e.ended:
+			e.t.Fatalf("the entry has ended: %v", err)
+		case <-time.After(20 * time.Millisecond):
+		}
 		assert.NilError(e.t, e.t.Context().Err())
 	}
 }
--- a/internal/apowner/apowner.go
+++ b/internal/apowner/apowner.go
@@ -6,10 +6,9 @@
 	"context"
 	"time"
 
+	"auburnport/internal/apgroup"
 	"auburnport/internal/aplog"
 
-	"golang.org/x/sync/errgroup"
-
 	"auburnport/pkg/apcode"
 	"auburnport/pkg/apfleet"
 	"auburnport/pkg/apjob"
@@ -91,7 +90,8 @@
 	config Config
 	shard  *apscheduler.Shard
 	events chan func(now time.Time)
-	calls  *errgroup.Group
+	// calls runs calls to workers, to the store and to the advisor; a panic in one ends the shard.
+	calls *apgroup.Group
 	// underWay counts the orders that wait for their answer; ordersFull tells that more are due.
 	underWay   int
 	ordersFull bool
@@ -160,8 +160,8 @@
 	})
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	group, inner := errgroup.WithContext(inner)
-	o.calls = &errgroup.Group{}
+	group, inner := apgroup.WithContext(inner)
+	o.calls = group
 	group.Go(func() error { return o.followInbox(inner) })
 	group.Go(func() error { return o.followWorkers(inner) })
 	group.Go(func() error { return o.followDisruptions(inner) })
@@ -169,9 +169,7 @@
 		defer cancel()
 		return o.loop(ctx, inner)
 	})
-	err = group.Wait()
-	_ = o.calls.Wait()
-	return err
+	return group.Wait()
 }
 
 func (o *Owner) load(state apjournal.State, now time.Time) {
--- a/pkg/apcode/apcode.go
+++ b/pkg/apcode/apcode.go
@@ -105,6 +105,9 @@
 // InvariantBroken is the code of a measurement that found a broken promise.
 const InvariantBroken Code = 7001
 
+// Panicked is the code of a part that ended by a panic, and is started anew.
+const Panicked Code = 7002
+
 // Description is a row of the table of result codes.
 type Description struct {
 	// Code is unique among all descriptions.
--- a/pkg/apcode/descriptions.go
+++ b/pkg/apcode/descriptions.go
@@ -71,5 +71,6 @@
 		{OrderBusy, "OrderBusy", http.StatusConflict, true, "The machine is not up, or leaves.", "Try again later."},
 		{WorkerGone, "WorkerGone", http.StatusConflict, true, "Nothing listens at the worker's address.", "Wait for its registration, or place the task elsewhere."},
 		{InvariantBroken, "InvariantBroken", http.StatusInternalServerError, false, "A load or a trial found a broken invariant.", "Report it with the command, the seed and the table."},
+		{Panicked, "Panicked", http.StatusInternalServerError, false, "A part of the process ended by a panic; the others go on.", "Report the stack in the log line; the part is started anew by itself."},
 	}
 }
