--- a/internal/apcontroller/apcontroller.go
+++ b/internal/apcontroller/apcontroller.go
@@ -56,12 +56,12 @@
 
 const (
 	// tickTime is how often decisions are taken.
-	tickTime = 100 * time.Millisecond
+	tickTime = 60 * time.Millisecond
 	// listAge is the age at which the list of machines is read again.
 	listAge = 400 * time.Millisecond
 	// watchWait, watchGap and watchBackoff are the times of the watches.
 	watchWait    = 2 * time.Second
-	watchGap     = 150 * time.Millisecond
+	watchGap     = 80 * time.Millisecond
 	watchBackoff = 200 * time.Millisecond
 	// awaitingGap is the least time between two lists of the workers that await upkeep.
 	awaitingGap = time.Second
--- a/internal/apowner/apowner.go
+++ b/internal/apowner/apowner.go
@@ -53,7 +53,7 @@
 	commitGap = 8 * time.Millisecond
 	// registryGap is the least time between two readings of the registrations' changes; a worker
 	// that leaves must get nothing new after about two seconds.
-	registryGap = 250 * time.Millisecond
+	registryGap = 120 * time.Millisecond
 	// watchWait is how long a watch may wait for a change.
 	watchWait = 2 * time.Second
 	// watchBackoff is the pause after a failed watch.
@@ -74,7 +74,7 @@
 	// waitingGap is how old the stored counts of waiting jobs may be.
 	waitingGap = time.Second
 	// poolGap is how old the stored account of the pool may be.
-	poolGap = 250 * time.Millisecond
+	poolGap = 150 * time.Millisecond
 	// eventQueue bounds the events that wait for the loop.
 	eventQueue = 1024
 	// restFactor times the length of a step is the least rest before the next one. A step costs more the
