--- a/internal/apcontroller/apcontroller_test.go
+++ b/internal/apcontroller/apcontroller_test.go
@@ -281,7 +281,8 @@
 		defer stop()
 		journal, play := run(first, dying{ledger, dead}, "a", lease)
 		assert.Assert(t, !journal.HandedOver())
-		time.AfterFunc(200*time.Millisecond, func() { dead.Store(true) })
+		// Between the first step, which begins to empty machines, and the second, which orders them.
+		time.AfterFunc(90*time.Millisecond, func() { dead.Store(true) })
 		play()
 		open, err := ledger.Scan(t.Context(), apjournal.PrefixDisruptions)
 		assert.NilError(t, err)
@@ -297,6 +298,7 @@
 		for _, value := range open.Values {
 			var d apmachine.Disruption
 			assert.NilError(t, apfleet.Decode(value.Data, &d))
+			assert.Assert(t, !d.Ordered, "the dead holder could store that %s was ordered", d.Machine)
 			at, ordered := f.first[d.Machine][journal.Fence()]
 			assert.Assert(t, ordered, "%s", d.Machine)
 			assert.Assert(t, at >= taken+4500*time.Millisecond, "%s ordered %v after the takeover", d.Machine, at-taken)
--- a/internal/apcontroller/order.go
+++ b/internal/apcontroller/order.go
@@ -133,11 +133,12 @@
 	group.SetLimit(maxOrders)
 	for i, d := range orders {
 		group.Go(func() error {
-			if ctx.Err() != nil {
-				results[i] = apcode.Wrapf(apcode.PermitExpired, ctx.Err(), "order of %s", d.Machine)
-				return nil
-			}
-			results[i] = apgroup.Guard(func() error { return c.config.Machines.Carry(sending, d, c.config.Journal.Fence()) })
+			results[i] = apgroup.Guard(func() error {
+				if ctx.Err() != nil {
+					return apcode.Wrapf(apcode.PermitExpired, ctx.Err(), "order of %s", d.Machine)
+				}
+				return c.config.Machines.Carry(sending, d, c.config.Journal.Fence())
+			})
 			return nil
 		})
 	}
--- a/internal/aplog/aplog_test.go
+++ b/internal/aplog/aplog_test.go
@@ -20,7 +20,10 @@
 // Every kind of field reads as fmt prints it, quoted where a space or a sign would break the line.
 func TestFieldsReadAsPrinted(t *testing.T) {
 	for _, value := range []any{
-		"plain", name("named"), 7, int64(-8), uint64(9), uint16(10), 1.5, true, time.Second, errors.New("it broke"), point{1, 2}, []int{1, 2}, "",
+		"plain", name("named"), 7, int64(-8), uint64(9), uint16(10), 1.5, true, time.Second, errors.New("it broke"),
+		point{1, 2},
+		[]int{1, 2},
+		"",
 		fmt.Errorf("a=b"),
 	} {
 		var out bytes.Buffer
--- a/pkg/apscheduler/job.go
+++ b/pkg/apscheduler/job.go
@@ -230,6 +230,15 @@
 	}
 }
 
+// markEnd makes the end of a task be stored: at once when it failed or completed a step.
+func (s *Shard) markEnd(j *job, id apjob.TaskID, how apworker.How, now time.Time) {
+	if how == apworker.EndDone && !j.occurrence(id.Occurrence).StepDone(id.Step) {
+		s.markDeferred(j, now)
+		return
+	}
+	s.markDirty(j)
+}
+
 // ripen makes the deferred records due whose time has come.
 func (s *Shard) ripen(now time.Time) {
 	n := 0
@@ -319,11 +328,7 @@
 	}
 	j.started = j.started || t.Tried()
 	j.recount()
-	if how == apworker.EndDone && !j.occurrence(run.Task.Occurrence).StepDone(run.Task.Step) {
-		s.markDeferred(j, now)
-	} else {
-		s.markDirty(j)
-	}
+	s.markEnd(j, run.Task, how, now)
 	s.judge(j, run.Task, how, now)
 	return true
 }
