No shard is claimed without a lease

The second claim was made under lease 0, which keeps the owner's key for good: gowu98c stayed with an entry whose permit had ended, and every job of the pool waited until the end. Before permits the same key outlived the entry's process.

Change: a claim needs a lease, and what was claimed under a lease that is lost meanwhile is ended at once.

Test that failed first: TestNoShardIsClaimedWithoutALease (the key outlived the lease).

--- a/internal/apmember/apmember.go
+++ b/internal/apmember/apmember.go
@@ -313,11 +313,20 @@
 	return xxhash.Sum64String(string(name) + "\x00" + string(shard))
 }
 
+// claimShard claims a shard under a lease. Without one the owner's key would stay for good. Errors: LeaseLost
+// and those of apjournal.Claim.
+func (m *Member) claimShard(ctx context.Context, shard apjournal.Shard, lease apstore.LeaseID) (*apjournal.Journal, error) {
+	if lease == 0 {
+		return nil, apcode.Errorf(apcode.LeaseLost, "the lease was lost before the claim")
+	}
+	return apjournal.Claim(ctx, m.ledger, shard, m.name, lease)
+}
+
 func (m *Member) take(ctx context.Context, shard apjournal.Shard, owned *errgroup.Group) {
 	m.mu.Lock()
 	lease, permit := m.lease, m.permit
 	m.mu.Unlock()
-	journal, err := apjournal.Claim(ctx, m.ledger, shard, m.name, lease)
+	journal, err := m.claimShard(ctx, shard, lease)
 	m.log("ShardClaimed", map[string]any{"Shard": shard, "Error": err})
 	if err != nil {
 		m.mu.Lock()
@@ -330,6 +339,10 @@
 	running, cancel := context.WithCancel(ctx)
 	m.mu.Lock()
 	m.running[shard] = cancel
+	if m.lease != lease {
+		// The lease was lost meanwhile, and the claim with it.
+		cancel()
+	}
 	m.mu.Unlock()
 	owned.Go(func() error {
 		defer cancel()
