One lease a round of claims; after the store lost all leases weak entries wait for strong ones

Change: a round of claims holds for one lease; a claim that is told LeaseLost ends the lease at once; an entry that knows of stronger ones looks around again after a lost lease, for the time in which they renew theirs.

Test that failed first: TestStrongEntriesOwnAfterTheStoreLostAllLeases.

--- a/internal/apmember/apmember.go
+++ b/internal/apmember/apmember.go
@@ -29,7 +29,7 @@
 	// until a successor of a dead owner may act.
 	TTL time.Duration
 	// Settle is how long a new member looks around before it claims anything, so that members that
-	// start together share the shards.
+	// start together share the shards; after a lost lease only those do that know of stronger ones.
 	Settle time.Duration
 	// Step is how much longer each less preferred member waits before it claims a free shard.
 	Step time.Duration
@@ -76,9 +76,13 @@
 	viewed    bool
 	lease     apstore.LeaseID
 	// permit belongs to lease.
-	permit  *aplease.Permit
+	permit *aplease.Permit
+	// since is when the lease was granted, settled tells that the entry has looked around before.
 	since   time.Time
-	running map[apjournal.Shard]context.CancelFunc
+	settled bool
+	// heaviest is the largest weight of an entry that was ever seen.
+	heaviest int
+	running  map[apjournal.Shard]context.CancelFunc
 }
 
 // New returns a member that claims among shards and runs what it gets with own.
@@ -157,7 +161,7 @@
 		if !apcode.Is(err, apcode.LeaseLost) {
 			return err
 		}
-		m.lost()
+		m.lost(lease)
 	}
 	permit = aplease.NewPermit(m.options.Clock)
 	asked := permit.Asked()
@@ -175,16 +179,17 @@
 	defer m.mu.Unlock()
 	permit.Extend(asked, m.options.TTL)
 	m.lease, m.permit = lease, permit
-	if m.since.IsZero() {
-		m.since = time.Now()
-	}
+	m.since = time.Now()
 	return nil
 }
 
 // lost ends what was owned under a lease that has lapsed.
-func (m *Member) lost() {
+func (m *Member) lost(lease apstore.LeaseID) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.lease != lease {
+		return
+	}
 	m.lease = 0
 	m.permit.End()
 	m.log("LeaseLost", map[string]any{"Shards": len(m.running)})
@@ -235,6 +240,7 @@
 		return
 	}
 	m.entries[name] = max(1, entry.Weight)
+	m.heaviest = max(m.heaviest, entry.Weight)
 }
 
 // claim takes free shards when it is this entry's turn.
@@ -247,19 +253,20 @@
 			return nil
 		case <-ticker.C:
 		}
-		for _, shard := range m.due(time.Now()) {
-			m.take(ctx, shard, owned)
+		due, lease := m.due(time.Now())
+		for _, shard := range due {
+			m.take(ctx, shard, lease, owned)
 		}
 	}
 }
 
-// due returns the free shards that this entry should claim now.
-func (m *Member) due(now time.Time) []apjournal.Shard {
+// due returns the free shards that this entry should claim now, and the lease under which it should.
+func (m *Member) due(now time.Time) ([]apjournal.Shard, apstore.LeaseID) {
 	wanted := m.shards()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.viewed || m.lease == 0 || now.Sub(m.since) < m.options.Settle {
-		return nil
+	if !m.viewed || m.lease == 0 || !m.lookedAround(now) {
+		return nil, 0
 	}
 	var due []apjournal.Shard
 	for _, shard := range wanted {
@@ -284,7 +291,18 @@
 			m.owners[shard] = m.name
 		}
 	}
-	return due
+	return due, m.lease
+}
+
+// lookedAround reports whether the entry knows the others well enough to claim. After the store has lost all
+// leases, entries register again when they next renew theirs: those that know of stronger ones wait for them.
+func (m *Member) lookedAround(now time.Time) bool {
+	held := now.Sub(m.since)
+	if !m.settled {
+		m.settled = held >= m.options.Settle
+		return m.settled
+	}
+	return m.options.Weight >= m.heaviest || held >= m.options.TTL/renewalsPerTTL+m.options.Settle
 }
 
 // Rank returns the place of an entry among those that may own a shard, given the weights of all that are
@@ -313,20 +331,24 @@
 	return xxhash.Sum64String(string(name) + "\x00" + string(shard))
 }
 
-// claimShard claims a shard under a lease. Without one the owner's key would stay for good. Errors: LeaseLost
-// and those of apjournal.Claim.
-func (m *Member) claimShard(ctx context.Context, shard apjournal.Shard, lease apstore.LeaseID) (*apjournal.Journal, error) {
-	if lease == 0 {
-		return nil, apcode.Errorf(apcode.LeaseLost, "the lease was lost before the claim")
+// claimShard claims a shard under a lease, unless that has been lost since: another one was granted for another
+// round, and under none the owner's key would stay for good. Errors: LeaseLost and those of apjournal.Claim.
+func (m *Member) claimShard(ctx context.Context, shard apjournal.Shard, lease apstore.LeaseID) (*apjournal.Journal, *aplease.Permit, error) {
+	m.mu.Lock()
+	present, permit := m.lease, m.permit
+	m.mu.Unlock()
+	if present != lease {
+		return nil, nil, apcode.Errorf(apcode.LeaseLost, "the lease was lost before the claim")
+	}
+	journal, err := apjournal.Claim(ctx, m.ledger, shard, m.name, lease)
+	if apcode.Is(err, apcode.LeaseLost) {
+		m.lost(lease)
 	}
-	return apjournal.Claim(ctx, m.ledger, shard, m.name, lease)
+	return journal, permit, err
 }
 
-func (m *Member) take(ctx context.Context, shard apjournal.Shard, owned *errgroup.Group) {
-	m.mu.Lock()
-	lease, permit := m.lease, m.permit
-	m.mu.Unlock()
-	journal, err := m.claimShard(ctx, shard, lease)
+func (m *Member) take(ctx context.Context, shard apjournal.Shard, lease apstore.LeaseID, owned *errgroup.Group) {
+	journal, permit, err := m.claimShard(ctx, shard, lease)
 	m.log("ShardClaimed", map[string]any{"Shard": shard, "Error": err})
 	if err != nil {
 		m.mu.Lock()
--- a/internal/apmember/panic_test.go
+++ b/internal/apmember/member_test.go
@@ -165,3 +165,53 @@
 		}
 	})
 }
+
+// late is a store that grants no lease for a while before a time.
+type late struct {
+	memory.Ledger
+	from time.Time
+}
+
+func (l late) Grant(ctx context.Context, ttl time.Duration) (apstore.LeaseID, error) {
+	if now := time.Now(); now.After(l.from.Add(-time.Second)) && now.Before(l.from) {
+		return 0, apcode.Errorf(apcode.StoreUnavailable, "away")
+	}
+	return l.Ledger.Grant(ctx, ttl)
+}
+
+// The store loses all leases. A weak entry registers again before the strong one, and would own the shards of
+// large pools, which it can't bear, until it ends: it waits for the strong one.
+func TestStrongEntriesOwnAfterTheStoreLostAllLeases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.Ledger{Store: memory.New()}
+		backAt := time.Now().Add(3 * time.Second)
+		owners := make(map[apjournal.Shard][]int)
+		var mu sync.Mutex
+		ctx, stop := context.WithTimeout(t.Context(), 6*time.Second)
+		defer stop()
+		members := &errgroup.Group{}
+		for name, weight := range map[apfleet.EntryName]int{"strong": 800, "weak": 192} {
+			ledger := apstore.Ledger(store)
+			if name == "strong" {
+				ledger = late{store, backAt}
+			}
+			options := apmember.DefaultOptions()
+			options.Weight = weight
+			member := apmember.New(ledger, name, func() []apjournal.Shard { return []apjournal.Shard{"a"} },
+				func(ctx context.Context, shard apjournal.Shard, _ *apjournal.Journal, _ *aplease.Permit) error {
+					mu.Lock()
+					owners[shard] = append(owners[shard], weight)
+					mu.Unlock()
+					<-ctx.Done()
+					return nil
+				}, func(string, map[string]any) {}, options)
+			members.Go(func() error { return member.Run(ctx) })
+		}
+		time.Sleep(time.Until(backAt.Add(-600 * time.Millisecond)))
+		for lease := range apstore.LeaseID(10) {
+			_ = store.Revoke(t.Context(), lease)
+		}
+		assert.NilError(t, members.Wait())
+		assert.DeepEqual(t, owners["a"], []int{800, 800})
+	})
+}
