--- a/internal/apmember/apmember.go
+++ b/internal/apmember/apmember.go
@@ -265,7 +265,7 @@
 	wanted := m.shards()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.viewed || m.lease == 0 || !m.lookedAround(now) {
+	if !m.viewed || m.lease == 0 || !m.hasSettled(now) {
 		return nil, 0
 	}
 	var due []apjournal.Shard
@@ -294,9 +294,9 @@
 	return due, m.lease
 }
 
-// lookedAround reports whether the entry knows the others well enough to claim. After the store has lost all
+// hasSettled reports whether the entry knows the others well enough to claim. After the store has lost all
 // leases, entries register again when they next renew theirs: those that know of stronger ones wait for them.
-func (m *Member) lookedAround(now time.Time) bool {
+func (m *Member) hasSettled(now time.Time) bool {
 	held := now.Sub(m.since)
 	if !m.settled {
 		m.settled = held >= m.options.Settle
@@ -349,7 +349,7 @@
 
 func (m *Member) take(ctx context.Context, shard apjournal.Shard, lease apstore.LeaseID, owned *errgroup.Group) {
 	journal, permit, err := m.claimShard(ctx, shard, lease)
-	m.log("ShardClaimed", map[string]any{"Shard": shard, "Error": err})
+	m.log("ShardClaimed", map[string]any{"Shard": shard, "Lease": uint64(lease), "Error": err})
 	if err != nil {
 		m.mu.Lock()
 		defer m.mu.Unlock()
--- a/pkg/apscheduler/batch.go
+++ b/pkg/apscheduler/batch.go
@@ -74,7 +74,7 @@
 	for _, p := range batch.planned {
 		if w, ok := s.workers[p.worker]; ok {
 			if o, ok := w.occupants[p.run]; ok && o.phase == phasePlanned {
-				w.move(o, phaseOrdered)
+				w.setPhase(o, phaseOrdered)
 			}
 		}
 	}
--- a/pkg/apscheduler/job.go
+++ b/pkg/apscheduler/job.go
@@ -211,7 +211,7 @@
 		w.release(run)
 		s.taskEnded(run, w.info.ID, apworker.EndStopped, o.checkpoint, now)
 	default:
-		w.move(o, phaseStopping)
+		w.setPhase(o, phaseStopping)
 		o.sentAt = time.Time{}
 		o.attempts = 0
 	}
@@ -239,8 +239,8 @@
 	s.markDirty(j)
 }
 
-// ripen makes the deferred records due whose time has come.
-func (s *Shard) ripen(now time.Time) {
+// enqueueDeferred makes the deferred records due whose time has come.
+func (s *Shard) enqueueDeferred(now time.Time) {
 	n := 0
 	for ; n < len(s.deferred) && !now.Before(s.deferred[n].at); n++ {
 		if j := s.jobs[s.deferred[n].id]; j != nil && j.deferred {
--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -72,7 +72,7 @@
 		s.since = now
 	}
 	s.expire(now)
-	s.ripen(now)
+	s.enqueueDeferred(now)
 	s.throttle()
 	s.beginDue(wall)
 	open := s.openWorkers(now)
--- a/pkg/apscheduler/report.go
+++ b/pkg/apscheduler/report.go
@@ -103,7 +103,7 @@
 		j.started = true
 	}
 	if o.phase == phaseOrdered {
-		w.move(o, phaseRunning)
+		w.setPhase(o, phaseRunning)
 		if o.answeredAt.IsZero() {
 			o.answeredAt = sentAt
 		}
@@ -134,7 +134,7 @@
 		s.log("RunAdopted", running.Run, w.info.ID, nil)
 		return o
 	}
-	w.move(o, phaseStopping)
+	w.setPhase(o, phaseStopping)
 	s.log("RunUnwanted", running.Run, w.info.ID, nil)
 	return o
 }
@@ -164,7 +164,7 @@
 	case code == apcode.OK:
 		o.answeredAt = now
 		if o.phase == phaseOrdered {
-			w.move(o, phaseRunning)
+			w.setPhase(o, phaseRunning)
 			o.startedAt = now
 		}
 		if j := s.jobs[run.Task.Job]; j != nil {
@@ -172,10 +172,10 @@
 		}
 	case code == apcode.StaleRun:
 		o.answeredAt = now
-		w.move(o, phaseStopping)
+		w.setPhase(o, phaseStopping)
 	case o.silent:
 		// An earlier copy of the order may still be carried out: only a stop rules that out.
-		w.move(o, phaseStopping)
+		w.setPhase(o, phaseStopping)
 		o.sentAt = time.Time{}
 	default:
 		s.refused(w, run, o, code, now)
--- a/pkg/apscheduler/worker.go
+++ b/pkg/apscheduler/worker.go
@@ -105,8 +105,8 @@
 	w.unsettled += o.phase.unsettled()
 }
 
-// move sets the phase of an occupant that is booked.
-func (w *worker) move(o *occupant, to phase) {
+// setPhase sets the phase of an occupant that is booked.
+func (w *worker) setPhase(o *occupant, to phase) {
 	w.unsettled += to.unsettled() - o.phase.unsettled()
 	o.phase = to
 }
