--- a/internal/apcontroller/apcontroller_test.go
+++ b/internal/apcontroller/apcontroller_test.go
@@ -95,13 +95,20 @@
 
 func control(t *testing.T, ctx context.Context, ledger apstore.Ledger, f *fleet, w apcontroller.Waves, holder apfleet.EntryName) error {
 	t.Helper()
-	journal, err := apjournal.Claim(ctx, ledger, apjournal.Machines, holder, 0)
+	_, controller := claim(t, ctx, ledger, f, w, holder, 0)
+	return controller.Run(ctx)
+}
+
+// claim claims the shard of machines under a lease and returns its controller.
+func claim(t *testing.T, ctx context.Context, ledger apstore.Ledger, m apcontroller.Machines, w apcontroller.Waves, holder apfleet.EntryName, lease apstore.LeaseID) (*apjournal.Journal, *apcontroller.Controller) {
+	t.Helper()
+	journal, err := apjournal.Claim(ctx, ledger, apjournal.Machines, holder, lease)
 	assert.NilError(t, err)
 	table := &apqueue.Table{Services: []apqueue.Service{{Name: "spare", Spare: true}}}
-	return apcontroller.New(apcontroller.Config{
-		Ledger: ledger, Journal: journal, Machines: f, Waves: w, Queues: func() *apqueue.Table { return table },
-		Log: func(string, map[string]any) {}, OrderLease: 3 * time.Second, Away: away,
-	}).Run(ctx)
+	return journal, apcontroller.New(apcontroller.Config{
+		Ledger: ledger, Journal: journal, Machines: m, Waves: w, Queues: func() *apqueue.Table { return table },
+		Log: func(string, map[string]any) {}, OrderLease: 3 * time.Second, Permit: 1500 * time.Millisecond, Away: away,
+	})
 }
 
 // A large wave takes more changes than a transaction holds, answers get lost, and the holder changes:
@@ -264,26 +271,17 @@
 		}
 		_, err := ledger.Commit(t.Context(), apstore.Transaction{Puts: []apstore.Put{{Key: "waves/1", Data: []byte{1}}}})
 		assert.NilError(t, err)
-		run := func(ctx context.Context, ledger apstore.Ledger, holder apfleet.EntryName, lease apstore.LeaseID) (*apjournal.Journal, func()) {
-			journal, err := apjournal.Claim(ctx, ledger, apjournal.Machines, holder, lease)
-			assert.NilError(t, err)
-			table := &apqueue.Table{Services: []apqueue.Service{{Name: "spare", Spare: true}}}
-			controller := apcontroller.New(apcontroller.Config{
-				Ledger: ledger, Journal: journal, Machines: f, Waves: w, Queues: func() *apqueue.Table { return table },
-				Log: func(string, map[string]any) {}, OrderLease: 3 * time.Second, Permit: 1500 * time.Millisecond, Away: away,
-			})
-			return journal, func() { _ = controller.Run(ctx) }
-		}
 		lease, err := ledger.Grant(t.Context(), 1500*time.Millisecond)
 		assert.NilError(t, err)
 		dead := &atomic.Bool{}
 		first, stop := context.WithTimeout(t.Context(), 300*time.Millisecond)
 		defer stop()
-		journal, play := run(first, dying{ledger, dead}, "a", lease)
+		journal, controller := claim(t, first, dying{ledger, dead}, f, w, "a", lease)
 		assert.Assert(t, !journal.HandedOver())
 		// Between the first step, which begins to empty machines, and the second, which orders them.
 		time.AfterFunc(90*time.Millisecond, func() { dead.Store(true) })
-		play()
+		// The dead holder can't release the shard.
+		_ = controller.Run(first)
 		open, err := ledger.Scan(t.Context(), apjournal.PrefixDisruptions)
 		assert.NilError(t, err)
 		assert.Assert(t, len(open.Values) > 0, "the dead holder was emptying machines")
@@ -291,10 +289,10 @@
 		time.Sleep(2 * time.Second)
 		second, stop := context.WithTimeout(t.Context(), 20*time.Second)
 		defer stop()
-		journal, play = run(second, ledger, "b", 0)
+		journal, controller = claim(t, second, ledger, f, w, "b", 0)
 		assert.Assert(t, !journal.HandedOver())
 		taken := time.Since(f.began)
-		play()
+		assert.NilError(t, controller.Run(second))
 		for _, value := range open.Values {
 			var d apmachine.Disruption
 			assert.NilError(t, apfleet.Decode(value.Data, &d))
--- a/internal/apcontroller/order.go
+++ b/internal/apcontroller/order.go
@@ -56,7 +56,7 @@
 		case apmachine.Open:
 			d := action.Disruption
 			c.config.Log("DisruptionOpened", map[string]any{"Machine": d.Machine, "Worker": d.Worker, "Pool": d.Pool, "Wave": d.Wave, "Target": d.Target, "ListAgeMs": now.Sub(c.listed).Milliseconds()})
-			write.Puts = append(write.Puts, apstore.Put{Key: disruptionKey(d.Machine), Data: apfleet.Encode(d)})
+			write.Puts = append(write.Puts, disruptionPut(d))
 			opened = append(opened, d)
 			delete(c.records, d.Machine)
 		case apmachine.Close:
@@ -66,7 +66,10 @@
 		case apmachine.Carry:
 			if len(orders) < maxStepOrders && now.After(c.retryAt[action.Disruption.Machine]) && c.mayOrder(action.Disruption.Machine, now) {
 				orders = append(orders, action.Disruption)
-				c.recordSpare(action.Disruption, &records, now)
+				if _, open := c.tables.Disruptions[action.Disruption.Machine]; !open {
+					// A spare machine needs no emptying, and so has no record yet.
+					c.record(action.Disruption, &records, now)
+				}
 			}
 		case apmachine.Complete:
 			finished := c.tables.Finished[action.Wave]
@@ -78,10 +81,8 @@
 		}
 	}
 	c.dropRecords(&write, now)
-	if len(write.Puts)+len(write.Removals) > 0 {
-		if err := c.write(ctx, write); err != nil {
-			return err
-		}
+	if err := c.write(ctx, write); err != nil {
+		return err
 	}
 	for _, d := range opened {
 		d.Revision = c.config.Journal.Revision()
@@ -93,13 +94,10 @@
 	return c.order(ctx, orders)
 }
 
-// recordSpare adds the record of an order for a machine that needs no emptying, and so has none yet.
-func (c *Controller) recordSpare(d apmachine.Disruption, write *apjournal.Write, now time.Time) {
-	if _, open := c.tables.Disruptions[d.Machine]; open {
-		return
-	}
+// record adds a record to a write that tells a successor that a machine was ordered.
+func (c *Controller) record(d apmachine.Disruption, write *apjournal.Write, now time.Time) {
 	d.Ordered = true
-	write.Puts = append(write.Puts, apstore.Put{Key: disruptionKey(d.Machine), Data: apfleet.Encode(d)})
+	write.Puts = append(write.Puts, disruptionPut(d))
 	c.records[d.Machine] = now.Add(c.config.OrderLease)
 }
 
@@ -121,6 +119,10 @@
 	return apjournal.PrefixDisruptions + apfleet.Key(name)
 }
 
+func disruptionPut(d apmachine.Disruption) apstore.Put {
+	return apstore.Put{Key: disruptionKey(d.Machine), Data: apfleet.Encode(d)}
+}
+
 // order sends orders together, then stores what was done.
 func (c *Controller) order(ctx context.Context, orders []apmachine.Disruption) error {
 	if len(orders) == 0 {
@@ -154,9 +156,6 @@
 		data := apfleet.Encode(c.tables.Finished[number])
 		write.Puts = append(write.Puts, apstore.Put{Key: waveKey(number), Data: data})
 	}
-	if len(write.Puts)+len(write.Removals) == 0 {
-		return nil
-	}
 	return c.write(ctx, write)
 }
 
@@ -186,9 +185,7 @@
 		return nil
 	}
 	if _, open := c.tables.Disruptions[d.Machine]; open {
-		d.Ordered = true
-		write.Puts = append(write.Puts, apstore.Put{Key: disruptionKey(d.Machine), Data: apfleet.Encode(d)})
-		c.records[d.Machine] = now.Add(c.config.OrderLease)
+		c.record(d, write, now)
 		delete(c.tables.Disruptions, d.Machine)
 	}
 	return nil
@@ -221,7 +218,7 @@
 	return apjournal.Write{Puts: []apstore.Put{{Key: key, Data: data}}}
 }
 
-// write stores a change, in several transactions when it is large.
+// write stores a change, in several transactions when it is large and in none when it is empty.
 func (c *Controller) write(ctx context.Context, write apjournal.Write) error {
 	for len(write.Puts)+len(write.Removals) > 0 {
 		puts := min(maxChanges, len(write.Puts))
--- a/pkg/apscheduler/apscheduler.go
+++ b/pkg/apscheduler/apscheduler.go
@@ -64,12 +64,6 @@
 	Retired bool
 }
 
-// deferredJob is a job whose progress is to be stored at a time, unless it was stored before.
-type deferredJob struct {
-	id apjob.ID
-	at time.Time
-}
-
 type planned struct {
 	run    apjob.RunKey
 	worker apjob.WorkerID
--- a/pkg/apscheduler/bench_test.go
+++ b/pkg/apscheduler/bench_test.go
@@ -11,12 +11,7 @@
 // crowded returns a full pool with a backlog: the load of a burst on a large pool.
 func crowded(workers, jobs int) *apscheduler.Shard {
 	s := crowdedPlan(workers, jobs)
-	storeAll(s)
-	for _, order := range s.Orders(start) {
-		if o, ok := order.(apscheduler.Start); ok {
-			s.Answered(o.To.ID, o.Order.Run, false, nil, start)
-		}
-	}
+	startPlanned(s)
 	return s
 }
 
--- a/pkg/apscheduler/deferred_test.go
+++ b/pkg/apscheduler/deferred_test.go
@@ -1,7 +1,6 @@
 package apscheduler_test
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -15,22 +14,10 @@
 // wide returns a pool of many workers on which a step of eight tasks runs, and where each task is.
 func wide(t *testing.T, workers int) (*apscheduler.Shard, map[apjob.RunKey]apjob.WorkerID) {
 	t.Helper()
-	s := apscheduler.New(1)
-	for n := range workers {
-		id := apjob.WorkerID(fmt.Sprintf("w%03d", n))
-		s.Register(workerInfo(id, 4000), start)
-		s.Report(id, apworker.Report{Clock: time.Second}, start, start)
-	}
+	s := emptyPool(workers, 4000)
 	s.Submit(job(apjob.Step{Count: 8, Need: apjob.Resources{CPU: 4000}}, apjob.Step{Count: 1, Need: apjob.Resources{CPU: 1}, After: []int{0}}), 0, start)
 	s.Plan(start, start)
-	storeAll(s)
-	at := make(map[apjob.RunKey]apjob.WorkerID)
-	for _, order := range s.Orders(start) {
-		if o, ok := order.(apscheduler.Start); ok {
-			at[o.Order.Run] = o.To.ID
-			s.Answered(o.To.ID, o.Order.Run, false, nil, start)
-		}
-	}
+	at := startPlanned(s)
 	assert.Equal(t, len(at), 8)
 	return s, at
 }
--- a/pkg/apscheduler/evacuate_test.go
+++ b/pkg/apscheduler/evacuate_test.go
@@ -22,13 +22,9 @@
 	}
 	s.Submit(job(apjob.Step{Count: 2, Need: apjob.Resources{CPU: 1000}, LongRunning: true, MaxPerWorker: 1, MaxUnavailable: 1}), 0, start)
 	s.Plan(start, start)
-	storeAll(s)
 	at := make(map[apjob.WorkerID]apjob.RunKey)
-	for _, order := range s.Orders(start) {
-		if o, ok := order.(apscheduler.Start); ok {
-			at[o.To.ID] = o.Order.Run
-			s.Answered(o.To.ID, o.Order.Run, false, nil, start)
-		}
+	for run, id := range startPlanned(s) {
+		at[id] = run
 	}
 	assert.Equal(t, len(at), 2)
 	return s, at
@@ -226,13 +222,9 @@
 	}
 	place := func() map[apjob.ID]apjob.WorkerID {
 		s.Plan(start, start)
-		storeAll(s)
 		placed := make(map[apjob.ID]apjob.WorkerID)
-		for _, order := range s.Orders(start) {
-			if o, ok := order.(apscheduler.Start); ok {
-				placed[o.Order.Run.Task.Job] = o.To.ID
-				s.Answered(o.To.ID, o.Order.Run, false, nil, start)
-			}
+		for run, id := range startPlanned(s) {
+			placed[run.Task.Job] = id
 		}
 		return placed
 	}
--- a/pkg/apscheduler/job.go
+++ b/pkg/apscheduler/job.go
@@ -217,47 +217,6 @@
 	}
 }
 
-// endShare times the number of workers is how long the end of a task may wait to be stored when nothing
-// depends on it: on a large pool under a burst the ends of one step share a record. It is less than the time
-// after which a worker is asked again.
-const endShare = 300 * time.Microsecond
-
-// markDeferred makes a job's progress be stored in a while.
-func (s *Shard) markDeferred(j *job, now time.Time) {
-	if !j.dirty && !j.deferred {
-		j.deferred = true
-		s.deferred = append(s.deferred, deferredJob{id: j.def.ID, at: now.Add(time.Duration(len(s.workers)) * endShare)})
-	}
-}
-
-// markEnd makes the end of a task be stored: at once when it failed or completed a step.
-func (s *Shard) markEnd(j *job, id apjob.TaskID, how apworker.How, now time.Time) {
-	if how == apworker.EndDone && !j.occurrence(id.Occurrence).StepDone(id.Step) {
-		s.markDeferred(j, now)
-		return
-	}
-	s.markDirty(j)
-}
-
-// enqueueDeferred makes the deferred records due whose time has come.
-func (s *Shard) enqueueDeferred(now time.Time) {
-	n := 0
-	for ; n < len(s.deferred) && !now.Before(s.deferred[n].at); n++ {
-		if j := s.jobs[s.deferred[n].id]; j != nil && j.deferred {
-			s.markDirty(j)
-		}
-	}
-	s.deferred = s.deferred[n:]
-}
-
-func (s *Shard) markDirty(j *job) {
-	j.deferred = false
-	if !j.dirty {
-		j.dirty = true
-		s.dirty = append(s.dirty, j.def.ID)
-	}
-}
-
 // recount brings the counts of waiting and running tasks up to date.
 func (j *job) recount() {
 	j.waiting, j.running = 0, 0
--- a/pkg/apscheduler/orders_test.go
+++ b/pkg/apscheduler/orders_test.go
@@ -30,14 +30,20 @@
 	assert.Equal(t, len(starts(s.NextOrders(now, 1000))), 0)
 }
 
-// crowdedPlan returns a pool that has just placed the first tasks of a burst.
-func crowdedPlan(workers, jobs int) *apscheduler.Shard {
+// emptyPool returns a pool of equal workers on which nothing runs.
+func emptyPool(workers int, cpu int64) *apscheduler.Shard {
 	s := apscheduler.New(1)
 	for n := range workers {
 		id := apjob.WorkerID(fmt.Sprintf("w%03d", n))
-		s.Register(workerInfo(id, 32000), start)
+		s.Register(workerInfo(id, cpu), start)
 		s.Report(id, apworker.Report{Clock: time.Second}, start, start)
 	}
+	return s
+}
+
+// crowdedPlan returns a pool that has just placed the first tasks of a burst.
+func crowdedPlan(workers, jobs int) *apscheduler.Shard {
+	s := emptyPool(workers, 32000)
 	for n := range jobs {
 		s.Submit(&apjob.Job{
 			ID: apjob.ID(fmt.Sprintf("%016x", n)), Queue: "q", Submitted: start,
--- a/pkg/apscheduler/place.go
+++ b/pkg/apscheduler/place.go
@@ -99,8 +99,7 @@
 func (s *Shard) placeStep(c *candidate, open []*worker, full *shortage, now time.Time) bool {
 	j := c.job
 	step := &j.def.Steps[c.step]
-	if need := step.Booked(); full.covers(need) || !anyFits(open, need) {
-		full.add(need)
+	if !full.anyFits(open, step.Booked()) {
 		return false
 	}
 	tasks := j.occurrence(c.occurrence).Steps[c.step]
@@ -182,19 +181,16 @@
 // whatever needs as much or more finds none either: on a full pool hundreds of steps wait.
 type shortage struct{ needs []apjob.Resources }
 
-func (f *shortage) covers(need apjob.Resources) bool {
-	return slices.ContainsFunc(f.needs, need.Fits)
-}
-
-func (f *shortage) add(need apjob.Resources) {
-	if f.covers(need) {
-		return
+// anyFits reports whether a need finds room on a worker.
+func (f *shortage) anyFits(open []*worker, need apjob.Resources) bool {
+	if slices.ContainsFunc(f.needs, need.Fits) {
+		return false
+	}
+	if slices.ContainsFunc(open, func(w *worker) bool { return w.info.Capacity.Sub(w.used).Fits(need) }) {
+		return true
 	}
 	f.needs = append(slices.DeleteFunc(f.needs, func(larger apjob.Resources) bool { return larger.Fits(need) }), need)
-}
-
-func anyFits(open []*worker, need apjob.Resources) bool {
-	return slices.ContainsFunc(open, func(w *worker) bool { return w.info.Capacity.Sub(w.used).Fits(need) })
+	return false
 }
 
 func (s *Shard) assign(j *job, id apjob.TaskID, t *apjob.Task, step *apjob.Step, on *worker, now time.Time) {
--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -177,7 +177,7 @@
 func (s *Shard) candidates(open []*worker, full *shortage, now time.Time) []candidate {
 	var candidates []candidate
 	for _, j := range s.active {
-		if j.waiting == 0 || !s.mayFit(j, open, full) {
+		if j.waiting == 0 || !mayFit(j, open, full) {
 			continue
 		}
 		for i := range j.progress.Occurrences {
@@ -206,20 +206,12 @@
 }
 
 // mayFit reports whether a step of the job finds room on a worker, or gets room kept.
-func (s *Shard) mayFit(j *job, open []*worker, full *shortage) bool {
+func mayFit(j *job, open []*worker, full *shortage) bool {
 	for n := range j.def.Steps {
 		step := &j.def.Steps[n]
-		if step.LongRunning || step.Gang {
+		if step.LongRunning || step.Gang || full.anyFits(open, step.Booked()) {
 			return true
 		}
-		need := step.Booked()
-		if full.covers(need) {
-			continue
-		}
-		if anyFits(open, need) {
-			return true
-		}
-		full.add(need)
 	}
 	return false
 }
--- a/pkg/apscheduler/takeover_test.go
+++ b/pkg/apscheduler/takeover_test.go
@@ -51,6 +51,19 @@
 }
 
 // storeAll stores every batch and returns the last record of each job.
+// startPlanned stores and starts what is planned, and returns where each run is.
+func startPlanned(s *apscheduler.Shard) map[apjob.RunKey]apjob.WorkerID {
+	storeAll(s)
+	at := make(map[apjob.RunKey]apjob.WorkerID)
+	for _, order := range s.Orders(start) {
+		if o, ok := order.(apscheduler.Start); ok {
+			at[o.Order.Run] = o.To.ID
+			s.Answered(o.To.ID, o.Order.Run, false, nil, start)
+		}
+	}
+	return at
+}
+
 func storeAll(s *apscheduler.Shard) map[apjob.ID]apscheduler.Record {
 	records := make(map[apjob.ID]apscheduler.Record)
 	for s.BatchDue() {
