apsoak: a worker that starts while the run ends leaves no proxy behind

Change: a closed ProxySet closes what is added to it. TestProxyAddedAfterClosingEnds failed first (10 s without an end).

--- a/internal/apsoak/apsoak.go
+++ b/internal/apsoak/apsoak.go
@@ -28,7 +28,7 @@
 	emulator *apemulator.Emulator
 	entries  []*entryProcess
 	// workerProxies holds the proxies in front of the workers.
-	workerProxies *proxySet
+	workerProxies *ProxySet
 	configs       *configVersions
 	random        *rand.Rand
 	startedAt     time.Time
@@ -74,7 +74,7 @@
 	for _, p := range s.entries {
 		p.shutDown()
 	}
-	s.workerProxies.closeAll()
+	s.workerProxies.Close()
 	err = firstError(err, group.Wait(), s.emulator.Stop())
 	report.Counts, report.Violations = s.emulator.Record.Counts(), s.emulator.Record.Violations()
 	if err == nil && len(report.Violations) == 0 && !s.options.KeepLogs {
@@ -102,8 +102,8 @@
 			o.Pools[i].Machines = max(o.Pools[i].Machines, int(math.Ceil(s.options.Rate*machinesPerJobRate)))
 		}
 	}))
-	s.workerProxies = newProxySet(group)
-	s.emulator.Fleet.Wrap = s.workerProxies.add
+	s.workerProxies = NewProxySet(group)
+	s.emulator.Fleet.Wrap = s.workerProxies.Add
 	if err := s.emulator.Start(ctx); err != nil {
 		return err
 	}
--- a/internal/apsoak/proxy.go
+++ b/internal/apsoak/proxy.go
@@ -204,19 +204,23 @@
 	_ = conn.Close()
 }
 
-// proxySet holds the proxies in front of the workers, of which new ones are started during a run.
-type proxySet struct {
+// ProxySet holds the proxies in front of the workers, of which new ones are started during a run.
+type ProxySet struct {
 	group     *errgroup.Group
 	mu        sync.Mutex
 	byAddress map[netip.AddrPort]*Proxy
+	// closed means that a proxy which is added is closed at once.
+	closed bool
 }
 
-func newProxySet(group *errgroup.Group) *proxySet {
-	return &proxySet{group: group, byAddress: make(map[netip.AddrPort]*Proxy)}
+// NewProxySet returns an empty set whose proxies run in the group.
+func NewProxySet(group *errgroup.Group) *ProxySet {
+	return &ProxySet{group: group, byAddress: make(map[netip.AddrPort]*Proxy)}
 }
 
-// add starts a proxy in front of an address and returns the proxy's address.
-func (p *proxySet) add(target netip.AddrPort) (netip.AddrPort, error) {
+// Add starts a proxy in front of an address and returns the proxy's address. After Close the proxy refuses all
+// connections, so that a worker which starts while the run ends leaves nothing behind. Errors: BadAddress.
+func (p *ProxySet) Add(target netip.AddrPort) (netip.AddrPort, error) {
 	proxy, err := NewProxy(p.group, target)
 	if err != nil {
 		return netip.AddrPort{}, err
@@ -224,11 +228,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.byAddress[proxy.Address()] = proxy
+	if p.closed {
+		proxy.Close()
+	}
 	return proxy.Address(), nil
 }
 
 // setLink sets the link state of the proxy with an address, if there is one.
-func (p *proxySet) setLink(address netip.AddrPort, link LinkState) {
+func (p *ProxySet) setLink(address netip.AddrPort, link LinkState) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if proxy := p.byAddress[address]; proxy != nil {
@@ -237,7 +244,7 @@
 }
 
 // openAll opens every link.
-func (p *proxySet) openAll() {
+func (p *ProxySet) openAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, proxy := range p.byAddress {
@@ -245,9 +252,11 @@
 	}
 }
 
-func (p *proxySet) closeAll() {
+// Close closes every proxy.
+func (p *ProxySet) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closed = true
 	for _, proxy := range p.byAddress {
 		proxy.Close()
 	}
--- a/internal/apsoak/proxy_test.go
+++ b/internal/apsoak/proxy_test.go
@@ -131,3 +131,29 @@
 	received, _ = fresh.receive(longWait)
 	assert.Assert(t, received)
 }
+
+// Guards against a run that never ends: a worker that starts while the run ends gets a proxy, whose goroutine must end
+// as well.
+func TestProxyAddedAfterClosingEnds(t *testing.T) {
+	group := &errgroup.Group{}
+	proxies := apsoak.NewProxySet(group)
+	_, err := proxies.Add(serveEcho(t))
+	assert.NilError(t, err)
+	proxies.Close()
+	address, err := proxies.Add(serveEcho(t))
+	assert.NilError(t, err)
+	ended := make(chan error, 1)
+	waiting := &errgroup.Group{}
+	waiting.Go(func() error {
+		ended <- group.Wait()
+		return nil
+	})
+	select {
+	case err := <-ended:
+		assert.NilError(t, err)
+	case <-time.After(longWait):
+		t.Fatal("a proxy is still running")
+	}
+	_, err = net.Dial("tcp", address.String())
+	assert.Assert(t, err != nil, "the proxy accepts connections after the set was closed")
+}
