apstore: an update returns the document that is stored

Cause: after a lost reply and a later write by another client, Update and UpdateAt returned their own body with the other write's revision, which apdaemon publishes as current. Change: reading back returns the stored document. TestUpdateAfterALostReplyReturnsTheStoredBody failed first.

--- a/pkg/apstore/client.go
+++ b/pkg/apstore/client.go
@@ -76,7 +76,8 @@
 	return DecodeDocument(value)
 }
 
-// Update applies change to the current value of a key and retries after conflicts until a write is confirmed.
+// Update applies change to the current value of a key and retries after conflicts until a write is confirmed. It returns
+// the document as stored, which is another client's if that has changed the value since.
 // Errors: those of change, StoreUnavailable (not written), StoreUnknown (possibly written: every later attempt to find
 // out failed), StoreConflict (after MaxConflicts conflicts), BadMessage, ValueTooLarge, LeaseLost.
 func (c *Client) Update(ctx context.Context, key apfleet.Key, change Change) (Document, error) {
@@ -115,11 +116,7 @@
 	}
 	operation := NewOperationID()
 	write := Write{Key: key, Data: c.encodeNext(value, operation, body), Expected: value.Revision}
-	revision, err := c.swapUntilSettled(ctx, write, operation)
-	if err != nil {
-		return Document{}, err
-	}
-	return Document{Key: key, Revision: revision, Body: body}, nil
+	return c.swapUntilSettled(ctx, write, operation, body)
 }
 
 // encodeNext encodes the envelope with the new body and adds the operation to those of the current value.
@@ -135,26 +132,26 @@
 	return apfleet.Encode(Envelope{Operations: operations, Body: body})
 }
 
-// swapUntilSettled retries a swap until its outcome is known. Retrying is safe: every attempt expects the
-// same revision, so at most one takes effect.
-func (c *Client) swapUntilSettled(ctx context.Context, write Write, operation OperationID) (Revision, error) {
+// swapUntilSettled retries a swap until its outcome is known, and returns the document that is then stored. Retrying is
+// safe: every attempt expects the same revision, so at most one takes effect.
+func (c *Client) swapUntilSettled(ctx context.Context, write Write, operation OperationID, body []byte) (Document, error) {
 	outcomeUnknown := false
 	delay := c.options.RetryDelay
 	for range c.options.MaxAttempts {
 		revision, err := c.store.Swap(ctx, write)
 		switch apcode.Of(err) {
 		case apcode.OK:
-			return revision, nil
+			return Document{Key: write.Key, Revision: revision, Body: body}, nil
 		case apcode.StoreConflict:
 			if !outcomeUnknown {
-				return 0, err
+				return Document{}, err
 			}
 			return c.readBack(ctx, write.Key, operation, err)
 		case apcode.StoreUnknown:
 			outcomeUnknown = true
 		case apcode.StoreUnavailable:
 		default:
-			return 0, err
+			return Document{}, err
 		}
 		if !Sleep(ctx, jitter(delay)) {
 			break
@@ -162,40 +159,40 @@
 		delay *= 2
 	}
 	if outcomeUnknown {
-		return 0, apcode.Errorf(apcode.StoreUnknown, "key %s: no reply confirmed operation %s", write.Key, operation)
+		return Document{}, apcode.Errorf(apcode.StoreUnknown, "key %s: no reply confirmed operation %s", write.Key, operation)
 	}
-	return 0, apcode.Errorf(apcode.StoreUnavailable, "key %s: not written", write.Key)
+	return Document{}, apcode.Errorf(apcode.StoreUnavailable, "key %s: not written", write.Key)
 }
 
 // readBack checks whether an earlier attempt of the operation took effect, after a later one ended in
-// conflict.
-func (c *Client) readBack(ctx context.Context, key apfleet.Key, operation OperationID, conflict error) (Revision, error) {
+// conflict. It returns the document that is stored, which may be that of a later operation.
+func (c *Client) readBack(ctx context.Context, key apfleet.Key, operation OperationID, conflict error) (Document, error) {
 	delay := c.options.RetryDelay
 	for range c.options.MaxAttempts {
 		value, err := c.store.Get(ctx, key)
 		if err == nil {
-			return confirmedRevision(value, operation, conflict)
+			return confirmedDocument(value, operation, conflict)
 		}
 		if !Sleep(ctx, jitter(delay)) {
 			break
 		}
 		delay *= 2
 	}
-	return 0, apcode.Errorf(apcode.StoreUnknown, "key %s: operation %s could not be read back", key, operation)
+	return Document{}, apcode.Errorf(apcode.StoreUnknown, "key %s: operation %s could not be read back", key, operation)
 }
 
-// confirmedRevision returns the value's revision if the value contains the operation, and conflict otherwise.
-func confirmedRevision(value Value, operation OperationID, conflict error) (Revision, error) {
+// confirmedDocument returns the value's document if the value contains the operation, and conflict otherwise.
+func confirmedDocument(value Value, operation OperationID, conflict error) (Document, error) {
 	var envelope Envelope
 	if value.Revision != 0 {
 		if err := apfleet.Decode(value.Data, &envelope); err != nil {
-			return 0, err
+			return Document{}, err
 		}
 	}
 	if slices.Contains(envelope.Operations, operation) {
-		return value.Revision, nil
+		return Document{Key: value.Key, Revision: value.Revision, Body: envelope.Body}, nil
 	}
-	return 0, conflict
+	return Document{}, conflict
 }
 
 // jitter returns a random duration between half of d and d.
