aplease: a late answer of the store grants no lease

Cause: Step judged by the time from before its calls. With a swap of 7 s and a lease of 6 s two held at once. Change: the calls' duration counts. TestLateAnswerGrantsNothing failed first.

--- a/pkg/aplease/aplease.go
+++ b/pkg/aplease/aplease.go
@@ -79,20 +79,21 @@
 	return Grant{Held: true, Epoch: l.epoch, Until: l.until}
 }
 
-// Step implements Holder.
+// Step implements Holder. The time that its calls of the store take counts against the lease.
 func (l *Lease) Step(ctx context.Context, now time.Time) Grant {
+	started := time.Now()
 	if l.Held(now).Held {
 		if !now.Before(l.renewAt) {
 			l.renew(ctx, now)
 		}
-		return l.Held(now)
-	}
-	l.epoch = 0
-	if !now.Before(l.retryAt) {
-		l.retryAt = now.Add(l.options.RetryEvery)
-		l.acquire(ctx, now)
+	} else {
+		l.epoch = 0
+		if !now.Before(l.retryAt) {
+			l.retryAt = now.Add(l.options.RetryEvery)
+			l.acquire(ctx, now)
+		}
 	}
-	return l.Held(now)
+	return l.Held(now.Add(time.Since(started)))
 }
 
 // Release implements Holder.
--- a/pkg/aplease/aplease_test.go
+++ b/pkg/aplease/aplease_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"auburnport/pkg/apcode"
@@ -72,3 +73,36 @@
 		assert.Assert(t, time.Since(start) <= 5*time.Second, "the lease was held for %v, but its TTL is 6 s", time.Since(start))
 	})
 }
+
+// slowSwaps is a store whose answers to swaps are late.
+type slowSwaps struct {
+	apstore.Store
+	delay time.Duration
+}
+
+func (s slowSwaps) Swap(ctx context.Context, write apstore.Write) (apstore.Revision, error) {
+	revision, err := s.Store.Swap(ctx, write)
+	time.Sleep(s.delay)
+	return revision, err
+}
+
+// The answer to an acquisition that comes after the lease has expired must not grant it: another may hold it by then.
+func TestLateAnswerGrantsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		slow := aplease.New(slowSwaps{store, 7 * time.Second}, key, "a")
+		other := aplease.New(store, key, "b")
+		granted := make(chan aplease.Grant, 1)
+		group := &errgroup.Group{}
+		group.Go(func() error {
+			granted <- slow.Step(t.Context(), time.Now())
+			return nil
+		})
+		time.Sleep(time.Millisecond)
+		for !other.Step(t.Context(), time.Now()).Held {
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.Assert(t, !(<-granted).Held, "both hold the lease")
+		assert.NilError(t, group.Wait())
+	})
+}
