--- a/internal/apcontroller/apcontroller.go
+++ b/internal/apcontroller/apcontroller.go
@@ -200,10 +200,14 @@
 }
 
 func (c *Controller) applyWaves(update apstore.Update) {
+	for key := range c.waveNumbers {
+		if update.Omits(key) {
+			c.removeWave(key)
+		}
+	}
 	for _, event := range update.Events {
 		if event.Removed {
-			number := c.waveNumbers[event.Value.Key]
-			c.tables.Waves = slices.DeleteFunc(c.tables.Waves, func(w apmachine.Wave) bool { return w.Number == number })
+			c.removeWave(event.Value.Key)
 			continue
 		}
 		wave, err := c.config.Waves.Parse(event.Value.Data)
@@ -217,7 +221,22 @@
 	}
 }
 
+// removeWave removes the wave of a request that no longer exists.
+func (c *Controller) removeWave(key apfleet.Key) {
+	number, known := c.waveNumbers[key]
+	if !known {
+		return
+	}
+	delete(c.waveNumbers, key)
+	c.tables.Waves = slices.DeleteFunc(c.tables.Waves, func(w apmachine.Wave) bool { return w.Number == number })
+}
+
 func (c *Controller) applyPools(update apstore.Update) {
+	for name := range c.tables.Pools {
+		if update.Omits(apjournal.PrefixPools + apfleet.Key(name)) {
+			delete(c.tables.Pools, name)
+		}
+	}
 	for _, event := range update.Events {
 		name := apfleet.ServiceName(event.Value.Key[len(apjournal.PrefixPools):])
 		var report apmachine.PoolReport
--- a/internal/apcontroller/apcontroller_test.go
+++ b/internal/apcontroller/apcontroller_test.go
@@ -313,3 +313,39 @@
 		assert.Assert(t, third.PreviousOwnerReleased(), "owner b has not released the shard")
 	})
 }
+
+// forgetfulStore has no history: a watch learns after a while that it must read everything again.
+type forgetfulStore struct{ memory.TransactionalStore }
+
+func (forgetfulStore) WatchChanges(ctx context.Context, _ apfleet.Key, _ apstore.Revision, _ time.Duration) (apstore.Feed, error) {
+	apstore.Sleep(ctx, 100*time.Millisecond)
+	return apstore.Feed{}, apcode.Errorf(apcode.StoreHistoryLost, "no history")
+}
+
+// A wave that was withdrawn while the controller's watch lost its history must end.
+func TestWithdrawnWaveEndsWithoutHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := forgetfulStore{memory.TransactionalStore{Store: memory.New()}}
+		f := newFleet(90)
+		w := waves{wave: apmachine.Wave{Number: 1, MaxCount: 3, Duration: 5 * time.Minute}}
+		for _, m := range f.machines {
+			w.wave.Machines = append(w.wave.Machines, m.Name)
+		}
+		_, err := store.Commit(t.Context(), apstore.Transaction{Puts: []apstore.Put{{Key: "waves/1", Data: []byte{1}}}})
+		assert.NilError(t, err)
+		ctx, stop := context.WithTimeout(t.Context(), 40*time.Second)
+		defer stop()
+		group := &errgroup.Group{}
+		group.Go(func() error { return runController(t, ctx, store, f, w, "a") })
+		time.Sleep(10 * time.Second)
+		_, err = store.Commit(t.Context(), apstore.Transaction{Removals: []apfleet.Key{"waves/1"}})
+		assert.NilError(t, err)
+		time.Sleep(10 * time.Second)
+		f.mu.Lock()
+		ordered := len(f.ordered)
+		f.mu.Unlock()
+		assert.Assert(t, ordered > 0 && ordered < 90)
+		assert.NilError(t, group.Wait())
+		assert.Equal(t, len(f.ordered), ordered, "machines were ordered for a wave that was withdrawn")
+	})
+}
--- a/internal/apowner/pool.go
+++ b/internal/apowner/pool.go
@@ -46,8 +46,13 @@
 const disruptionPollInterval = 100 * time.Millisecond
 
 func (o *Owner) applyDisruptions(update apstore.Update) {
-	if update.Snapshot {
-		o.endUnlistedDisruptions(update.Events)
+	for key := range o.disruptions {
+		if update.Omits(key) {
+			o.endDisruption(key)
+		}
+	}
+	if update.Omits(apjournal.PrefixAwaiting + apfleet.Key(o.config.Shard)) {
+		o.scheduler.SetAvoided(nil)
 	}
 	for _, event := range update.Events {
 		if pool, ok := apjournal.ParseAwaitingKey(event.Value.Key); ok {
@@ -101,19 +106,6 @@
 	}
 }
 
-// endUnlistedDisruptions ends the known disruptions that are missing from the full list all.
-func (o *Owner) endUnlistedDisruptions(all []apstore.Event) {
-	listed := make(map[apfleet.Key]bool, len(all))
-	for _, event := range all {
-		listed[event.Value.Key] = true
-	}
-	for key := range o.disruptions {
-		if !listed[key] {
-			o.endDisruption(key)
-		}
-	}
-}
-
 // updateCordon cordons the workers that are disrupted, or were within cordonGracePeriod.
 func (o *Owner) updateCordon(now time.Time) {
 	cordoned := make(map[apjob.WorkerID]bool, len(o.disruptions)+len(o.disruptionEndedAt))
--- a/pkg/apstore/watcher.go
+++ b/pkg/apstore/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"auburnport/pkg/apcode"
@@ -20,6 +21,11 @@
 	Err error
 }
 
+// Omits reports whether the update shows that a key does not exist.
+func (u Update) Omits(key apfleet.Key) bool {
+	return u.Snapshot && !slices.ContainsFunc(u.Events, func(event Event) bool { return event.Value.Key == key && !event.Removed })
+}
+
 // Watcher reads all values under a prefix and then follows their changes.
 type Watcher struct {
 	Store  TransactionalStore
