apmachine: one plan disrupts a machine once

Cause: moves didn't see what waves opened in the same plan, so an idle machine could get an upkeep and a move, which wrote one key twice in one transaction. Change: what a plan opens counts as open for its rest. TestPlanDisruptsAMachineOnce failed first.

--- a/pkg/apmachine/apmachine_test.go
+++ b/pkg/apmachine/apmachine_test.go
@@ -299,3 +299,33 @@
 	apmachine.Plan(tables)
 	assert.Equal(t, tables.TargetSizes["a"].Machines, 75, "an old trend is ignored")
 }
+
+// A machine gets at most one action in a plan: a wave and a pool that shrinks must not open the same machine, and an
+// idle spare machine must not get an upkeep and a move.
+func TestPlanDisruptsAMachineOnce(t *testing.T) {
+	for second := range 15 {
+		tables := newTables(map[apfleet.ServiceName]int{"a": 12, "b": 12}, 6)
+		queued := tables.Pools["b"]
+		queued.QueuedWork = 200_000
+		tables.Pools["b"] = queued
+		wave := apmachine.Wave{Number: 1, MaxCount: 12, Duration: 30 * time.Second}
+		for _, m := range tables.Machines {
+			wave.Machines = append(wave.Machines, m.Name)
+		}
+		tables.Waves = []apmachine.Wave{wave}
+		tables.WaveFirstSeen[1] = start.Add(-time.Duration(second) * time.Second)
+		disrupted := make(map[apmachine.Name]int)
+		for _, action := range apmachine.Plan(tables) {
+			switch action := action.(type) {
+			case apmachine.OpenDisruption:
+				disrupted[action.Disruption.Machine]++
+			case apmachine.ExecuteDisruption:
+				disrupted[action.Disruption.Machine]++
+			}
+		}
+		for name, n := range disrupted {
+			assert.Equal(t, n, 1, "%s after %d s of the wave", name, second)
+		}
+		assert.Equal(t, len(tables.Disruptions), 0, "a plan must leave the stored disruptions as they are")
+	}
+}
--- a/pkg/apmachine/wave.go
+++ b/pkg/apmachine/wave.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -25,12 +26,29 @@
 	t.Awaiting = awaitingUpkeep(t)
 	t.updateTrends()
 	actions := completeDisruptions(t)
+	// What the plan opens counts as open for the rest of the plan, and is left to the caller to store.
+	stored := t.Disruptions
+	defer func() { t.Disruptions = stored }()
+	t.Disruptions = maps.Clone(stored)
 	for _, wave := range t.Waves {
-		actions = append(actions, planWave(t, wave)...)
+		actions = append(actions, t.markOpened(planWave(t, wave))...)
 	}
 	return append(actions, planMoves(t)...)
 }
 
+// markOpened adds the disruptions that the actions open to the table, and returns the actions.
+func (t *Tables) markOpened(actions []Action) []Action {
+	if t.Disruptions == nil {
+		t.Disruptions = make(map[Name]Disruption)
+	}
+	for _, action := range actions {
+		if open, ok := action.(OpenDisruption); ok {
+			t.Disruptions[open.Disruption.Machine] = open.Disruption
+		}
+	}
+	return actions
+}
+
 // completeDisruptions orders the upkeep or move of machines that have been emptied, and closes disruptions whose
 // machine is no longer listed or whose worker has been replaced.
 func completeDisruptions(t *Tables) []Action {
