apcontroller: an order is stored before it is given, so a machine that is only opened binds no successor

Cause: a successor let every machine with a record wait OrderLease and PermitTTL, 4.5 s, whether its predecessor had ordered it or only opened it. After a loss of all entries the pool in its turn stayed at 8 of 38 machines for 4 s. Change: RecentOrder is stored under the epoch's condition before an order is given. Only machines so marked wait; plans pass over them. A record whose order may have been carried out is kept when its disruption is closed. The epoch says by which rules its owner marks, so that the records of an older build bind as before (a chain old, new, new within 3 s is not covered).

--- a/internal/apcontroller/apcontroller.go
+++ b/internal/apcontroller/apcontroller.go
@@ -89,8 +89,8 @@
 	startedAt time.Time
 	// listedAt is when the machine list was last read.
 	listedAt time.Time
-	// inherited holds the machines for which a previous owner left an open disruption, or which it ordered shortly
-	// before the takeover.
+	// inherited holds the machines that a previous owner may have ordered shortly before the takeover, or may still
+	// order under its permit.
 	inherited map[apmachine.Name]bool
 	// recordExpiry is the time until which the record of an executed order is kept for a successor.
 	recordExpiry map[apmachine.Name]time.Time
@@ -174,7 +174,9 @@
 			c.config.Log("DisruptionUnreadable", map[string]any{"Key": value.Key, "Error": err})
 			continue
 		}
-		c.inherited[d.Machine] = true
+		if d.Ordered || d.RecentOrder || c.config.Journal.PreviousProtocol() < apjournal.ProtocolMarkedOrders {
+			c.inherited[d.Machine] = true
+		}
 		if d.Ordered {
 			c.recordExpiry[d.Machine] = c.startedAt.Add(c.config.OrderLease)
 			continue
@@ -278,6 +280,9 @@
 	}
 	c.tables.Now, c.tables.Started = now, c.startedAt
 	c.tables.FirstController = c.config.Journal.Epoch() == 1
+	if c.tables.Withheld = c.inherited; c.mayOrderInherited(now) {
+		c.tables.Withheld = nil
+	}
 	if table := c.config.Queues(); table != nil {
 		for _, s := range table.Services {
 			if s.Spare {
--- a/internal/apcontroller/order.go
+++ b/internal/apcontroller/order.go
@@ -47,7 +47,6 @@
 // execute stores the changes of the planned actions, then sends the orders among them.
 func (c *Controller) execute(ctx context.Context, actions []apmachine.Action, now time.Time) error {
 	var write apjournal.Write
-	var records apjournal.Write
 	var opened []apmachine.Disruption
 	var orders []apmachine.Disruption
 	for _, action := range actions {
@@ -59,21 +58,24 @@
 		switch action := action.(type) {
 		case apmachine.OpenDisruption:
 			d := action.Disruption
+			_, recent := c.recordExpiry[d.Machine]
+			d.RecentOrder = recent || c.tables.Withheld[d.Machine]
 			c.config.Log("DisruptionOpened", map[string]any{"Machine": d.Machine, "Worker": d.Worker, "Pool": d.Pool, "Wave": d.Wave, "Target": d.Target, "ListAgeMs": now.Sub(c.listedAt).Milliseconds()})
 			write.Puts = append(write.Puts, disruptionPut(d))
 			opened = append(opened, d)
 			delete(c.recordExpiry, d.Machine)
 		case apmachine.CloseDisruption:
 			c.config.Log("DisruptionClosed", map[string]any{"Machine": action.Machine, "Why": action.Reason})
-			write.Removals = append(write.Removals, disruptionKey(action.Machine))
+			if c.tables.Disruptions[action.Machine].RecentOrder {
+				// An order whose response was lost may have been carried out.
+				c.addOrderRecord(c.tables.Disruptions[action.Machine], &write, now)
+			} else {
+				write.Removals = append(write.Removals, disruptionKey(action.Machine))
+			}
 			delete(c.tables.Disruptions, action.Machine)
 		case apmachine.ExecuteDisruption:
 			if len(orders) < maxOrdersPerStep && now.After(c.retryAt[action.Disruption.Machine]) && c.orderAllowed(action.Disruption.Machine, now) {
 				orders = append(orders, action.Disruption)
-				if _, open := c.tables.Disruptions[action.Disruption.Machine]; !open {
-					// A spare machine is ordered without being emptied, so nothing is stored about it yet.
-					c.addOrderRecord(action.Disruption, &records, now)
-				}
 			}
 		case apmachine.CompleteWave:
 			progress := c.tables.Progress[action.Wave]
@@ -92,12 +94,44 @@
 		d.Revision = c.config.Journal.Revision()
 		c.tables.Disruptions[d.Machine] = d
 	}
-	if err := c.commit(ctx, records); err != nil {
+	if err := c.markOrders(ctx, orders, now); err != nil {
 		return err
 	}
 	return c.sendOrders(ctx, orders)
 }
 
+// markOrders stores for each machine that an order may be given, before any is. A successor then knows which machines
+// a previous owner may have ordered. After the takeover that owner can't store a mark, so it orders no others.
+func (c *Controller) markOrders(ctx context.Context, orders []apmachine.Disruption, now time.Time) error {
+	var write apjournal.Write
+	var marked []apmachine.Disruption
+	for _, d := range orders {
+		open, isOpen := c.tables.Disruptions[d.Machine]
+		switch {
+		case !isOpen:
+			// A spare machine is ordered without being emptied, so nothing is stored about it yet.
+			c.addOrderRecord(d, &write, now)
+		case !open.RecentOrder:
+			open.RecentOrder = true
+			marked = append(marked, open)
+		}
+	}
+	for chunk := range slices.Chunk(marked, maxTransactionChanges) {
+		var part apjournal.Write
+		for _, d := range chunk {
+			part.Puts = append(part.Puts, disruptionPut(d))
+		}
+		if err := c.commit(ctx, part); err != nil {
+			return err
+		}
+		for _, d := range chunk {
+			d.Revision = c.config.Journal.Revision()
+			c.tables.Disruptions[d.Machine] = d
+		}
+	}
+	return c.commit(ctx, write)
+}
+
 // addOrderRecord adds a record to write that tells a successor that the machine was ordered.
 func (c *Controller) addOrderRecord(d apmachine.Disruption, write *apjournal.Write, now time.Time) {
 	d.Ordered = true
@@ -105,18 +139,19 @@
 	c.recordExpiry[d.Machine] = now.Add(c.config.OrderLease)
 }
 
-// orderAllowed reports whether a machine may be ordered without coming too soon after an order of the previous
-// owner. That owner ordered only machines that the store has a record of, and unless it released the shard, it
-// may go on to order them until its permit ends.
+// orderAllowed reports whether a machine may be ordered without coming too soon after an order of a previous owner.
 func (c *Controller) orderAllowed(name apmachine.Name, now time.Time) bool {
-	if c.config.Journal.Epoch() == 1 || !c.inherited[name] {
-		return true
-	}
+	return !c.inherited[name] || c.mayOrderInherited(now)
+}
+
+// mayOrderInherited reports whether the machines that a previous owner may have ordered may be ordered again. Unless
+// that owner released the shard, it may go on to order them until its permit ends.
+func (c *Controller) mayOrderInherited(now time.Time) bool {
 	wait := c.config.OrderLease
 	if !c.config.Journal.PreviousOwnerReleased() {
 		wait += c.config.PermitTTL
 	}
-	return now.Sub(c.startedAt) >= wait
+	return c.config.Journal.Epoch() == 1 || now.Sub(c.startedAt) >= wait
 }
 
 func disruptionKey(name apmachine.Name) apfleet.Key {
--- a/pkg/apjournal/apjournal.go
+++ b/pkg/apjournal/apjournal.go
@@ -118,8 +118,17 @@
 	WriteNumber uint64 `cbor:"Write"`
 	// Released is true when the owner has released the shard and does nothing more.
 	Released bool `cbor:"Released"`
+	// Protocol is the version of the rules that the owner follows. It is 0 for owners older than the field.
+	Protocol Protocol `cbor:"Protocol,omitempty"`
 }
 
+// Protocol is a version of the rules that the owner of a shard follows. Later versions include the earlier ones.
+type Protocol int
+
+// ProtocolMarkedOrders: the owner of the machines stores in a machine's record that an order may be given, before it
+// gives the order.
+const ProtocolMarkedOrders Protocol = 1
+
 // Check returns BadMessage for an epoch without an owner.
 func (e Epoch) Check() error {
 	if e.Owner == "" {
@@ -177,8 +186,10 @@
 	revision apstore.Revision
 	// fence is higher than the fence of every earlier owner of the shard.
 	fence uint64
-	// previousOwnerReleased is true when the previous owner released the shard.
+	// previousOwnerReleased is true when the previous owner released the shard. previousProtocol is the version of
+	// the rules that it followed.
 	previousOwnerReleased bool
+	previousProtocol      Protocol
 }
 
 // The delay between attempts of a write doubles from minRetryDelay, which is a few round trips to the store,
@@ -201,8 +212,8 @@
 			return nil, err
 		}
 	}
-	previousOwnerReleased := epoch.Released
-	epoch = Epoch{Owner: owner, Number: epoch.Number + 1}
+	previous := epoch
+	epoch = Epoch{Owner: owner, Number: epoch.Number + 1, Protocol: ProtocolMarkedOrders}
 	ownerRevision, err := claimRevision(ctx, store, shard, owner)
 	if err != nil {
 		return nil, err
@@ -219,7 +230,7 @@
 	}
 	return &Journal{
 		store: store, shard: shard, epoch: epoch, revision: result.Revision,
-		fence: uint64(result.Revision), previousOwnerReleased: previousOwnerReleased,
+		fence: uint64(result.Revision), previousOwnerReleased: previous.Released, previousProtocol: previous.Protocol,
 	}, nil
 }
 
@@ -253,6 +264,9 @@
 // that is recorded in the store counts.
 func (j *Journal) PreviousOwnerReleased() bool { return j.previousOwnerReleased }
 
+// PreviousProtocol returns the version of the rules that the previous owner followed.
+func (j *Journal) PreviousProtocol() Protocol { return j.previousProtocol }
+
 // Store writes changes and retries until they are known to be stored. onFailure is called after every failed
 // attempt. Errors: LeaseLost when another owner has taken over, BadMessage, and StoreUnknown when ctx ends.
 func (j *Journal) Store(ctx context.Context, write Write, onFailure func(error)) error {
--- a/pkg/apmachine/apmachine.go
+++ b/pkg/apmachine/apmachine.go
@@ -68,6 +68,9 @@
 	// Ordered means that the order has been given to the platform and nothing is left to do. The record is kept
 	// for a while so that a controller that takes over knows about the recent order.
 	Ordered bool `cbor:"Ordered,omitempty"`
+	// RecentOrder means that an order for the machine may have been given under this record, or shortly before it.
+	// It is stored before an order is given.
+	RecentOrder bool `cbor:"RecentOrder,omitempty"`
 	// Revision is the store revision of the record. PoolReport.Empty refers to it when the worker is empty.
 	Revision apstore.Revision `cbor:"-"`
 }
@@ -151,6 +154,9 @@
 	Pools       map[apfleet.ServiceName]PoolReport
 	// UpSince is when a machine was first listed as up since it was last down or away.
 	UpSince map[Name]time.Time
+	// Withheld holds the machines that may not be ordered yet, because a previous controller may have ordered them
+	// shortly before. Nothing is opened for them.
+	Withheld map[Name]bool
 	// Awaiting holds the machines that still await their upkeep in a wave. Plan sets it.
 	Awaiting map[Name]bool
 	// TargetSizes is the number of machines that each pool should have. Plan keeps it between calls.
--- a/pkg/apmachine/balance.go
+++ b/pkg/apmachine/balance.go
@@ -236,7 +236,7 @@
 func (t *Tables) spareMachines() []Machine {
 	var spare []Machine
 	for _, m := range t.Machines {
-		if _, disrupted := t.Disruptions[m.Name]; m.Pool == t.SparePool && m.State == StateUp && !disrupted {
+		if _, disrupted := t.Disruptions[m.Name]; m.Pool == t.SparePool && m.State == StateUp && !disrupted && !t.Withheld[m.Name] {
 			spare = append(spare, m)
 		}
 	}
@@ -265,7 +265,7 @@
 	for _, m := range t.Machines {
 		used, working := p.ReservedCPU[m.Worker]
 		_, disrupted := t.Disruptions[m.Name]
-		if m.Pool == pool && m.State == StateUp && working && !disrupted && p.LongRunning[m.Worker] == 0 &&
+		if m.Pool == pool && m.State == StateUp && working && !disrupted && !t.Withheld[m.Name] && p.LongRunning[m.Worker] == 0 &&
 			(scarce || used <= m.Capacity.CPU/idleDivisor) {
 			movable = append(movable, m)
 		}
--- a/pkg/apmachine/wave.go
+++ b/pkg/apmachine/wave.go
@@ -127,7 +127,7 @@
 			// The machine's upkeep has ended, or it has failed or been moved since.
 		case done, disrupted && t.Disruptions[name].Kind == KindUpkeep:
 			down++
-		case m.State == StateUp && !disrupted:
+		case m.State == StateUp && !disrupted && !t.Withheld[m.Name]:
 			remaining++
 			waiting = append(waiting, m)
 		default:
