aprelay: an entry that can't reach the store serves its callers through one that can

Writes whose answer was lost were left unsettled until the caller's time was up. Change: entries register a relay address; the intake's reads, writes and the watch of the settings go through a peer (WebSocket with CBOR) while the own store fails, or after 600 ms without an answer. Leases aren't relayed: shards change hands as before. Writes are conditional, so one that is sent on two ways takes effect once; an unknown outcome stays unknown unless a peer settles it. StoreRelay is logged when it begins and ends.

--- a/internal/apmember/apmember.go
+++ b/internal/apmember/apmember.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"context"
 	"maps"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -39,6 +40,8 @@
 	ClaimInterval time.Duration
 	// Weight is this entry's CPU share in thousandths of a core.
 	Weight int
+	// Relay is the address at which this entry relays calls of the others to the store.
+	Relay netip.AddrPort
 	// Clock measures how long the lease is certain to be held. The default is aplease.Boottime.
 	Clock aplease.Clock
 }
@@ -73,7 +76,9 @@
 	mu sync.Mutex
 	// weights holds the weight of each entry that is up.
 	weights map[apfleet.EntryName]int
-	owners  map[apjournal.Shard]apfleet.EntryName
+	// relays holds the relay address of each entry that is up.
+	relays map[apfleet.EntryName]netip.AddrPort
+	owners map[apjournal.Shard]apfleet.EntryName
 	// freeSince is when a shard was first seen to be free.
 	freeSince map[apjournal.Shard]time.Time
 	// synced tells that weights and owners reflect the store: the last watch has not failed.
@@ -98,7 +103,7 @@
 	}
 	return &Member{
 		store: store, name: name, options: options, shards: shards, runShard: runShard, log: log,
-		weights: make(map[apfleet.EntryName]int), owners: make(map[apjournal.Shard]apfleet.EntryName),
+		weights: make(map[apfleet.EntryName]int), relays: make(map[apfleet.EntryName]netip.AddrPort), owners: make(map[apjournal.Shard]apfleet.EntryName),
 		freeSince: make(map[apjournal.Shard]time.Time), running: make(map[apjournal.Shard]context.CancelFunc),
 	}
 }
@@ -135,6 +140,19 @@
 	return slices.Sorted(maps.Keys(m.running))
 }
 
+// Peers returns the relay addresses of the other entries that were up when the store last answered, in a fixed order.
+func (m *Member) Peers() []netip.AddrPort {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var peers []netip.AddrPort
+	for _, name := range slices.Sorted(maps.Keys(m.relays)) {
+		if name != m.name && m.relays[name].IsValid() {
+			peers = append(peers, m.relays[name])
+		}
+	}
+	return peers
+}
+
 // keepLease registers the entry and keeps its lease renewed until ctx ends.
 func (m *Member) keepLease(ctx context.Context) error {
 	ticker := time.NewTicker(m.options.TTL / renewalsPerTTL)
@@ -177,7 +195,7 @@
 		return err
 	}
 	_, err = m.store.Commit(ctx, apstore.Transaction{
-		Puts: []apstore.Put{{Key: apjournal.EntryKey(m.name), Data: apfleet.Encode(apjournal.Entry{Weight: m.options.Weight}), Lease: lease}},
+		Puts: []apstore.Put{{Key: apjournal.EntryKey(m.name), Data: apfleet.Encode(apjournal.Entry{Weight: m.options.Weight, Relay: m.options.Relay}), Lease: lease}},
 	})
 	if err != nil {
 		return err
@@ -221,6 +239,7 @@
 	m.synced = true
 	if update.Snapshot {
 		clear(m.weights)
+		clear(m.relays)
 		clear(m.owners)
 	}
 	for _, event := range update.Events {
@@ -244,8 +263,10 @@
 	var entry apjournal.Entry
 	if event.Removed || apfleet.Decode(event.Value.Data, &entry) != nil {
 		delete(m.weights, name)
+		delete(m.relays, name)
 		return
 	}
+	m.relays[name] = entry.Relay
 	m.weights[name] = max(1, entry.Weight)
 	m.maxWeight = max(m.maxWeight, entry.Weight)
 }
--- a/internal/apnode/apnode.go
+++ b/internal/apnode/apnode.go
@@ -18,6 +18,7 @@
 	"auburnport/internal/apintake"
 	"auburnport/internal/apmember"
 	"auburnport/internal/apowner"
+	"auburnport/internal/aprelay"
 	"auburnport/pkg/apcode"
 	"auburnport/pkg/apfleet"
 	"auburnport/pkg/apjob"
@@ -46,6 +47,8 @@
 	shutdownTimeout = 2 * time.Second
 	// metricsPortOffset is the offset of the metrics port from the first internal port.
 	metricsPortOffset = 5
+	// relayPortOffset is that of the port at which calls of other entries to the store are relayed.
+	relayPortOffset = 6
 	// maxConnsPerWorker bounds the connections of this entry to one worker: a long-polling report request
 	// occupies one, orders share the others. Each connection costs two goroutines, and opening one costs as
 	// much as several orders.
@@ -69,7 +72,9 @@
 	startSettings   apadapter.Settings
 	currentSettings atomic.Pointer[apadapter.Settings]
 	*reporter
-	store    *apadapter.Store
+	store *apadapter.Store
+	// relay serves callers: it reaches the store through other entries when this one can't.
+	relay    *aprelay.Store
 	workers  *apadapter.Workers
 	machines *apadapter.Machines
 	// advisorClient is kept here so that its connections to the advisor outlive a shard.
@@ -159,12 +164,14 @@
 	readyMux.HandleFunc("GET /auburnport/ready", n.callerHandler.ServeReadiness)
 	metricsMux := http.NewServeMux()
 	metricsMux.HandleFunc("GET /metrics", n.serveMetrics)
+	relayMux := http.NewServeMux()
+	relayMux.Handle(aprelay.Path, n.relay)
 	metricsAddress := netip.AddrPortFrom(n.startSettings.CallerAddress.Addr(), n.startSettings.FirstPort+metricsPortOffset)
 	var servers []*server
 	for _, endpoint := range []struct {
 		address netip.AddrPort
 		handler http.Handler
-	}{{n.startSettings.CallerAddress, n.withRecovery(n.callerHandler)}, {n.startSettings.ReadinessAddress, readyMux}, {metricsAddress, metricsMux}} {
+	}{{n.startSettings.CallerAddress, n.withRecovery(n.callerHandler)}, {n.startSettings.ReadinessAddress, readyMux}, {metricsAddress, metricsMux}, {relayAddress(n.startSettings), relayMux}} {
 		var config net.ListenConfig
 		listener, err := config.Listen(ctx, "tcp", endpoint.address.String())
 		if err != nil {
@@ -191,7 +198,7 @@
 // watchQueueTable follows the operators' settings, the queue table, in the store and applies each new version. It
 // tells the intake when the store confirms the table and when it can't be reached.
 func (n *Node) watchQueueTable(ctx context.Context) error {
-	watcher := apstore.Watcher{Store: n.store, Prefix: apadapter.PrefixOperator, Timeout: settingsWatchTimeout, Backoff: settingsRetryDelay}
+	watcher := apstore.Watcher{Store: n.relay, Prefix: apadapter.PrefixOperator, Timeout: settingsWatchTimeout, Backoff: settingsRetryDelay}
 	failing := false
 	return watcher.Run(ctx, func(update apstore.Update) {
 		if ctx.Err() != nil {
--- a/internal/apnode/apnode_test.go
+++ b/internal/apnode/apnode_test.go
@@ -76,17 +76,34 @@
 	caller   *apemulator.Caller
 }
 
-func startEntry(t *testing.T) *testEntry {
+// startPlatform starts an emulated platform, which stops after the entries of the test.
+func startPlatform(t *testing.T) *apemulator.Emulator {
 	t.Helper()
-	e := &testEntry{Emulator: apemulator.New(), t: t}
+	e := apemulator.New()
 	assert.NilError(t, e.Start(t.Context()))
+	t.Cleanup(func() {
+		assert.NilError(t, e.Stop())
+		assert.Equal(t, len(e.Record.Violations()), 0, "%v", e.Record.Violations())
+	})
 	assert.NilError(t, e.Configure(t.Context(), 1, []apemulator.QueueSpec{findQueue}))
-	store, err := e.ServeStore("first")
+	return e
+}
+
+func startEntry(t *testing.T) *testEntry {
+	t.Helper()
+	return joinEntry(t, startPlatform(t), "entry-1", "first")
+}
+
+// joinEntry starts an entry on a platform, with its own client of the store.
+func joinEntry(t *testing.T, platform *apemulator.Emulator, name, storeClient string) *testEntry {
+	t.Helper()
+	e := &testEntry{Emulator: platform, t: t}
+	store, err := e.ServeStore(storeClient)
 	assert.NilError(t, err)
 	machines, err := e.ServeMachines()
 	assert.NilError(t, err)
 	ip := uniqueLoopback()
-	e.settings, err = apadapter.ParseSettings(e.Settings("entry-1", netip.AddrPortFrom(ip, 8624), netip.AddrPortFrom(ip, 8622), 7060, store, machines))
+	e.settings, err = apadapter.ParseSettings(e.Settings(name, netip.AddrPortFrom(ip, 8624), netip.AddrPortFrom(ip, 8622), 7060, store, machines))
 	assert.NilError(t, err)
 	logger, err := aplog.New(&e.log, "info", aplog.FormatText)
 	assert.NilError(t, err)
@@ -104,8 +121,6 @@
 		stop()
 		assert.NilError(t, group.Wait())
 		e.caller.Close()
-		assert.NilError(t, e.Stop())
-		assert.Equal(t, len(e.Record.Violations()), 0, "%v", e.Record.Violations())
 	})
 	return e
 }
@@ -169,3 +184,26 @@
 	e.node.Reload(read, false)
 	assert.Assert(t, e.log.hasLine("Event=Reload", "RestartNeeded=true"))
 }
+
+// An entry that the store turns away serves its callers through another entry: it accepts their jobs, tells their state
+// and applies new settings.
+func TestTurnedAwayEntryServesItsCallers(t *testing.T) {
+	platform := startPlatform(t)
+	served := joinEntry(t, platform, "entry-1", "first")
+	served.runJob("00000000000000d1")
+	turnedAway := joinEntry(t, platform, "entry-2", "second")
+	turnedAway.runJob("00000000000000d2")
+	platform.Store.SetFault("second", apemulator.StoreFaultBusy)
+	turnedAway.waitFor(func() bool { return turnedAway.log.hasLine("Event=LeaseRenewal", "Failing=true") })
+	turnedAway.runJob("00000000000000d3")
+	second := findQueue
+	second.Name, second.Prefix = "seek", "/seek/"
+	assert.NilError(t, platform.Configure(t.Context(), 2, []apemulator.QueueSpec{findQueue, second}))
+	turnedAway.waitFor(func() bool { return turnedAway.log.hasLine("Event=SettingsApplied", "Version=2") })
+	for _, reason := range []string{"StoreUnavailable", "settings were last confirmed"} {
+		assert.Assert(t, !turnedAway.log.hasLine("Event=Refused", reason), "a caller was refused: %s", reason)
+	}
+	platform.Store.SetFault("second", apemulator.StoreFaultNone)
+	turnedAway.waitFor(func() bool { return turnedAway.log.hasLine("Event=LeaseRenewal", "Failing=false") })
+	turnedAway.runJob("00000000000000d4")
+}
--- a/internal/apnode/providers.go
+++ b/internal/apnode/providers.go
@@ -1,10 +1,13 @@
 package apnode
 
 import (
+	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"auburnport/internal/apintake"
 	"auburnport/internal/apmember"
+	"auburnport/internal/aprelay"
 	"auburnport/platform"
 )
 
@@ -23,10 +26,36 @@
 	return apadapter.NewMachines(r.countCalls(apadapter.NewOrderClient(apadapter.MachineTimeout)), settings.MachinesAddress, settings.Node)
 }
 
-func newIntake(r *reporter, store *apadapter.Store, settings apadapter.Settings) *apintake.Intake {
+// relayAddress returns the address at which an entry relays calls of the others to the store.
+func relayAddress(settings apadapter.Settings) netip.AddrPort {
+	return netip.AddrPortFrom(settings.CallerAddress.Addr(), settings.FirstPort+relayPortOffset)
+}
+
+// peers implements aprelay.Peers. It exists before the node's membership, which knows the peers.
+type peers struct {
+	member atomic.Pointer[apmember.Member]
+}
+
+// Peers implements aprelay.Peers.
+func (p *peers) Peers() []netip.AddrPort {
+	if member := p.member.Load(); member != nil {
+		return member.Peers()
+	}
+	return nil
+}
+
+func newPeers() *peers { return &peers{} }
+
+func newRelay(r *reporter, store *apadapter.Store, p *peers) *aprelay.Store {
+	return aprelay.New(store, p, r.logEvent)
+}
+
+// newIntake returns an intake that serves callers through the relay, so that they don't notice when the store turns
+// this entry away.
+func newIntake(r *reporter, relay *aprelay.Store, settings apadapter.Settings) *apintake.Intake {
 	options := apintake.DefaultOptions()
 	options.MaxSettingsAge = time.Duration(settingsAgeRatio * float64(settings.Bounds.MaxConfigDelay))
-	return apintake.New(store, options, r.logRequest)
+	return apintake.New(relay, options, r.logRequest)
 }
 
 func newCallerHandler(intake *apintake.Intake) *apadapter.CallerHandler {
@@ -35,17 +64,19 @@
 
 // newNode builds the node and its membership, which decides which shards this entry owns and calls runShard
 // for each of them.
-func newNode(settings apadapter.Settings, r *reporter, store *apadapter.Store, workers *apadapter.Workers,
+func newNode(settings apadapter.Settings, r *reporter, store *apadapter.Store, p *peers, relay *aprelay.Store, workers *apadapter.Workers,
 	machines *apadapter.Machines, intake *apintake.Intake, callerHandler *apadapter.CallerHandler,
 ) *Node {
 	n := &Node{
-		startSettings: settings, reporter: r, store: store, workers: workers, machines: machines,
+		startSettings: settings, reporter: r, store: store, relay: relay, workers: workers, machines: machines,
 		advisorClient: r.newClient(1), intake: intake, callerHandler: callerHandler,
 	}
 	n.currentSettings.Store(&settings)
 	membership := apmember.DefaultOptions()
 	membership.TTL = max(membership.TTL, settings.MinTTL)
 	membership.Weight = int(settings.CPUShare * weightPerCore)
+	membership.Relay = relayAddress(settings)
 	n.member = apmember.New(store, settings.Node, n.requiredShards, n.runShard, n.logEvent, membership)
+	p.member.Store(n.member)
 	return n
 }
--- a/internal/apnode/wire.go
+++ b/internal/apnode/wire.go
@@ -12,7 +12,7 @@
 
 // providers lists the constructors from which Wire builds a Node.
 var providers = wire.NewSet(
-	newReporter, metrics.NewRegistry, newStore, newWorkers, newMachines, newIntake, newCallerHandler, newNode,
+	newReporter, metrics.NewRegistry, newStore, newWorkers, newMachines, newPeers, newRelay, newIntake, newCallerHandler, newNode,
 )
 
 // New builds an entry from its settings.
--- a/internal/apnode/wire_gen.go
+++ b/internal/apnode/wire_gen.go
@@ -20,11 +20,13 @@
 	registry := metrics.NewRegistry()
 	apnodeReporter := newReporter(logger, registry)
 	store := newStore(apnodeReporter, settings)
+	apnodePeers := newPeers()
+	aprelayStore := newRelay(apnodeReporter, store, apnodePeers)
 	workers := newWorkers(apnodeReporter)
 	machines := newMachines(apnodeReporter, settings)
-	intake := newIntake(apnodeReporter, store, settings)
+	intake := newIntake(apnodeReporter, aprelayStore, settings)
 	callerHandler := newCallerHandler(intake)
-	node := newNode(settings, apnodeReporter, store, workers, machines, intake, callerHandler)
+	node := newNode(settings, apnodeReporter, store, apnodePeers, aprelayStore, workers, machines, intake, callerHandler)
 	return node
 }
 
@@ -32,5 +34,5 @@
 
 // providers lists the constructors from which Wire builds a Node.
 var providers = wire.NewSet(
-	newReporter, metrics.NewRegistry, newStore, newWorkers, newMachines, newIntake, newCallerHandler, newNode,
+	newReporter, metrics.NewRegistry, newStore, newWorkers, newMachines, newPeers, newRelay, newIntake, newCallerHandler, newNode,
 )
--- a/pkg/apjournal/apjournal.go
+++ b/pkg/apjournal/apjournal.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -141,6 +142,8 @@
 type Entry struct {
 	// Weight is the entry's CPU share in thousandths of a core. 0 counts as 1.
 	Weight int `cbor:"Weight"`
+	// Relay is the address at which the entry relays calls to the store. The zero value means that it relays none.
+	Relay netip.AddrPort `cbor:"Relay,omitzero"`
 }
 
 // Check returns BadMessage for a negative weight.
--- a/pkg/apstore/transactional.go
+++ b/pkg/apstore/transactional.go
@@ -30,47 +30,47 @@
 
 // Condition is the revision that a key must have; 0 means absent.
 type Condition struct {
-	Key      apfleet.Key
-	Revision Revision
+	Key      apfleet.Key `cbor:"Key"`
+	Revision Revision    `cbor:"Revision"`
 }
 
 // Put is a value to write.
 type Put struct {
-	Key apfleet.Key
+	Key apfleet.Key `cbor:"Key"`
 	// Data is at most MaxValueBytes long.
-	Data []byte
+	Data []byte `cbor:"Data"`
 	// Lease is the lease that the key is attached to: the key is deleted when the lease ends. 0 means no
 	// lease.
-	Lease LeaseID
+	Lease LeaseID `cbor:"Lease,omitempty"`
 }
 
 // Transaction is a set of changes that are applied atomically.
 type Transaction struct {
 	// Conditions, Puts and Removals have at most MaxTransactionOperations elements in total.
-	Conditions []Condition
-	Puts       []Put
-	Removals   []apfleet.Key
+	Conditions []Condition   `cbor:"Conditions,omitempty"`
+	Puts       []Put         `cbor:"Puts,omitempty"`
+	Removals   []apfleet.Key `cbor:"Removals,omitempty"`
 }
 
 // TransactionResult is the result of a transaction.
 type TransactionResult struct {
 	// Revision is the store's revision after the transaction, which is that of every key written. It is 0 if the
 	// transaction was not applied.
-	Revision Revision
+	Revision Revision `cbor:"Revision"`
 	// Current holds the current values of the conditions' keys after a conflict.
-	Current []Value
+	Current []Value `cbor:"Current,omitempty"`
 }
 
 // Event is a change of a key.
 type Event struct {
 	// Value has no data if the key was removed.
-	Value   Value
-	Removed bool
+	Value   Value `cbor:"Value"`
+	Removed bool  `cbor:"Removed,omitempty"`
 }
 
 // Feed is the result of WatchChanges.
 type Feed struct {
 	// Revision is where the next WatchChanges call continues.
-	Revision Revision
-	Events   []Event
+	Revision Revision `cbor:"Revision"`
+	Events   []Event  `cbor:"Events,omitempty"`
 }
