--- a/internal/apcontroller/apcontroller.go
+++ b/internal/apcontroller/apcontroller.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"slices"
-	"strconv"
 	"time"
 
 	"auburnport/internal/apgroup"
@@ -187,70 +185,6 @@
 	return nil
 }
 
-// watch passes every change under prefix to apply, on the goroutine of the control loop.
-func (c *Controller) watch(ctx context.Context, prefix apfleet.Key, apply func(apstore.Update)) error {
-	watcher := apstore.Watcher{Store: c.config.Store, Prefix: prefix, Timeout: watchTimeout, Delay: watchDelay, Backoff: watchBackoff}
-	return watcher.Run(ctx, func(update apstore.Update) {
-		if update.Err != nil {
-			return
-		}
-		select {
-		case c.updates <- func() { apply(update) }:
-		case <-ctx.Done():
-		}
-	})
-}
-
-func (c *Controller) applyWaves(update apstore.Update) {
-	for key := range c.waveNumbers {
-		if update.Omits(key) {
-			c.removeWave(key)
-		}
-	}
-	for _, event := range update.Events {
-		if event.Removed {
-			c.removeWave(event.Value.Key)
-			continue
-		}
-		wave, err := c.config.Waves.Parse(event.Value.Data)
-		if err != nil {
-			c.config.Log("WaveUnreadable", map[string]any{"Key": event.Value.Key, "Error": err})
-			continue
-		}
-		c.waveNumbers[event.Value.Key] = wave.Number
-		c.tables.Waves = slices.DeleteFunc(c.tables.Waves, func(w apmachine.Wave) bool { return w.Number == wave.Number })
-		c.tables.Waves = append(c.tables.Waves, wave)
-	}
-}
-
-// removeWave removes the wave of a request that no longer exists.
-func (c *Controller) removeWave(key apfleet.Key) {
-	number, known := c.waveNumbers[key]
-	if !known {
-		return
-	}
-	delete(c.waveNumbers, key)
-	c.tables.Waves = slices.DeleteFunc(c.tables.Waves, func(w apmachine.Wave) bool { return w.Number == number })
-}
-
-func (c *Controller) applyPools(update apstore.Update) {
-	for name := range c.tables.Pools {
-		if update.Omits(apjournal.PrefixPools + apfleet.Key(name)) {
-			delete(c.tables.Pools, name)
-		}
-	}
-	for _, event := range update.Events {
-		name := apfleet.ServiceName(event.Value.Key[len(apjournal.PrefixPools):])
-		var report apmachine.PoolReport
-		if event.Removed || apfleet.Decode(event.Value.Data, &report) != nil {
-			delete(c.tables.Pools, name)
-			continue
-		}
-		report.ReceivedAt = time.Now()
-		c.tables.Pools[name] = report
-	}
-}
-
 // controlLoop applies changes as they come and plans at every tick.
 func (c *Controller) controlLoop(ctx context.Context) error {
 	ticker := time.NewTicker(planInterval)
@@ -298,28 +232,6 @@
 	return c.execute(ctx, actions, now)
 }
 
-// publishAwaiting stores for each pool which of its workers await upkeep, so that its owner moves
-// long-running tasks to workers that are not about to be emptied themselves.
-func (c *Controller) publishAwaiting(ctx context.Context, now time.Time) error {
-	if now.Sub(c.publishedAt) < awaitingInterval {
-		return nil
-	}
-	var write apjournal.Write
-	for pool, workers := range c.tables.AwaitingWorkers() {
-		if slices.Equal(workers, c.published[pool]) {
-			continue
-		}
-		c.published[pool] = workers
-		data := apfleet.Encode(apmachine.AwaitingUpkeep{Workers: workers})
-		write.Puts = append(write.Puts, apstore.Put{Key: apjournal.PrefixAwaiting + apfleet.Key(pool), Data: data})
-	}
-	if len(write.Puts) == 0 {
-		return nil
-	}
-	c.publishedAt = now
-	return c.commit(ctx, write)
-}
-
 // logPoolSizes logs each pool whose size or target size has changed.
 func (c *Controller) logPoolSizes() {
 	for pool, target := range c.tables.TargetSizes {
@@ -335,49 +247,6 @@
 	}
 }
 
-// registerNewWaves loads the progress of waves that this controller has not seen before and reports them to
-// the operator as running.
-func (c *Controller) registerNewWaves(ctx context.Context, now time.Time) error {
-	for _, w := range c.tables.Waves {
-		if _, known := c.tables.WaveFirstSeen[w.Number]; known {
-			continue
-		}
-		value, err := c.config.Store.Read(ctx, waveKey(w.Number))
-		if err != nil {
-			// Retried in the next step. The watch of the queue table in apnode logs that the store is unavailable.
-			return nil //nolint:nilerr // The store's absence is logged where it is followed.
-		}
-		var progress apmachine.WaveProgress
-		if value.Revision != 0 {
-			if err := apfleet.Decode(value.Data, &progress); err != nil {
-				c.config.Log("WaveUnreadable", map[string]any{"Key": value.Key, "Error": err})
-			}
-		}
-		elapsed := progress.Elapsed(w, now)
-		write := c.waveStatus(w.Number, progress.Completed)
-		if progress.FirstSeen.IsZero() {
-			// The stored start time makes a successor continue the wave's time window instead of starting a
-			// new one.
-			progress.FirstSeen = now
-			write.Puts = append(write.Puts, apstore.Put{Key: waveKey(w.Number), Data: apfleet.Encode(progress)})
-		}
-		c.tables.WaveFirstSeen[w.Number] = now.Add(-elapsed)
-		c.tables.Progress[w.Number] = progress
-		c.config.Log("WaveSeen", map[string]any{
-			"Wave": w.Number, "Machines": len(w.Machines), "Done": len(progress.Machines), "MaxCount": w.MaxCount, "Duration": w.Duration, "Passed": elapsed,
-		})
-		if err := c.commit(ctx, write); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// waveKey returns the key of a wave's progress.
-func waveKey(number int) apfleet.Key {
-	return apjournal.PrefixWaves + apfleet.Key(strconv.Itoa(number))
-}
-
 // refreshMachines reads the machine list and reports whether it could. Machines that this controller has
 // ordered away do not count as up.
 func (c *Controller) refreshMachines(ctx context.Context, now time.Time) bool {
--- /dev/null
+++ b/pkg/apjournal/records.go
@@ -0,0 +1,74 @@
+package apjournal
+
+import (
+	"net/netip"
+
+	"auburnport/pkg/apcode"
+	"auburnport/pkg/apfleet"
+	"auburnport/pkg/apjob"
+)
+
+// Epoch is the record that every write to a shard replaces.
+type Epoch struct {
+	Owner apfleet.EntryName `cbor:"Holder"`
+	// Number increases with every owner.
+	Number uint64 `cbor:"Number"`
+	// WriteNumber increases with every write of the owner.
+	WriteNumber uint64 `cbor:"Write"`
+	// Released is true when the owner has released the shard and does nothing more.
+	Released bool `cbor:"Released"`
+	// Protocol is the version of the rules that the owner follows. It is 0 for owners older than the field.
+	Protocol Protocol `cbor:"Protocol,omitempty"`
+}
+
+// Protocol is a version of the rules that the owner of a shard follows. Later versions include the earlier ones.
+type Protocol int
+
+// ProtocolMarkedOrders: the owner of the machines stores in a machine's record that an order may be given, before it
+// gives the order.
+const ProtocolMarkedOrders Protocol = 1
+
+// Check returns BadMessage for an epoch without an owner.
+func (e Epoch) Check() error {
+	if e.Owner == "" {
+		return apcode.Errorf(apcode.BadMessage, "epoch record without an owner")
+	}
+	return nil
+}
+
+// Entry is the record of a running entry.
+type Entry struct {
+	// Weight is the entry's CPU share in thousandths of a core. 0 counts as 1.
+	Weight int `cbor:"Weight"`
+	// Relay is the address at which the entry relays calls to the store. The zero value means that it relays none.
+	Relay netip.AddrPort `cbor:"Relay,omitzero"`
+}
+
+// Check returns BadMessage for a negative weight.
+func (e Entry) Check() error {
+	if e.Weight < 0 {
+		return apcode.Errorf(apcode.BadMessage, "negative entry weight %d", e.Weight)
+	}
+	return nil
+}
+
+// Owner is the owner record of a shard.
+type Owner struct {
+	Entry apfleet.EntryName `cbor:"Holder"`
+}
+
+// Check returns BadMessage for an owner record without an entry.
+func (o Owner) Check() error {
+	if o.Entry == "" {
+		return apcode.Errorf(apcode.BadMessage, "owner record without an entry")
+	}
+	return nil
+}
+
+// WaitingCounts holds the number of a shard's waiting jobs by queue.
+type WaitingCounts struct {
+	Queues map[apjob.Queue]int `cbor:"Queues"`
+}
+
+// Check accepts every count.
+func (w WaitingCounts) Check() error { return nil }
