--- a/pkg/apjournal/records.go
+++ b/pkg/apjournal/records.go
@@ -24,8 +24,8 @@
 // Protocol is a version of the rules that the owner of a shard follows. Later versions include the earlier ones.
 type Protocol int
 
-// ProtocolMarkedOrders: the owner of the machines stores in a machine's record that an order may be given, before it
-// gives the order.
+// ProtocolMarkedOrders is the version from which on the owner of the machines stores in a machine's record that an order
+// may be given, before it gives the order.
 const ProtocolMarkedOrders Protocol = 1
 
 // Check returns BadMessage for an epoch without an owner.
