apcontroller: a release within the permit of an earlier owner is not a quiet one

Cause: owner A loses its lease and goes on under its permit for up to 1.5 s; B takes over and releases before that ends; C sees a release and waits OrderLease alone. Also B kept A's records for OrderLease only.

--- a/internal/apcontroller/apcontroller.go
+++ b/internal/apcontroller/apcontroller.go
@@ -144,7 +144,7 @@
 	if ctx.Err() != nil {
 		last, stop := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 		defer stop()
-		return c.config.Journal.Release(last)
+		return c.config.Journal.Release(last, c.previousPermitEnded(time.Now()))
 	}
 	return err
 }
@@ -176,7 +176,7 @@
 			c.inherited[d.Machine] = true
 		}
 		if d.Ordered {
-			c.recordExpiry[d.Machine] = c.startedAt.Add(c.config.OrderLease)
+			c.recordExpiry[d.Machine] = c.startedAt.Add(c.inheritedWait())
 			continue
 		}
 		d.Revision = value.Revision
--- a/internal/apcontroller/apcontroller_test.go
+++ b/internal/apcontroller/apcontroller_test.go
@@ -401,7 +401,7 @@
 // some of their orders and with lost responses. No machine may get a lower fence after a higher one, or orders of two
 // owners within the minimum time between them, on a platform that doesn't check fences.
 func TestOwnersNeverOrderAMachineWithinOneLease(t *testing.T) {
-	for seed := range uint64(60) {
+	for seed := range uint64(240) {
 		synctest.Test(t, func(t *testing.T) { playOwners(t, seed) })
 	}
 }
--- a/internal/apcontroller/order.go
+++ b/internal/apcontroller/order.go
@@ -144,14 +144,23 @@
 	return !c.inherited[name] || c.mayOrderInherited(now)
 }
 
-// mayOrderInherited reports whether the machines that a previous owner may have ordered may be ordered again. Unless
-// that owner released the shard, it may go on to order them until its permit ends.
+// mayOrderInherited reports whether the machines that a previous owner may have ordered may be ordered again.
 func (c *Controller) mayOrderInherited(now time.Time) bool {
-	wait := c.config.OrderLease
-	if !c.config.Journal.PreviousOwnerReleased() {
-		wait += c.config.PermitTTL
+	return c.config.Journal.Epoch() == 1 || now.Sub(c.startedAt) >= c.inheritedWait()
+}
+
+// inheritedWait returns how long after the takeover an order may come too soon after one of a previous owner. Unless the
+// shard was released, a previous owner may go on to give orders until its permit ends.
+func (c *Controller) inheritedWait() time.Duration {
+	if c.config.Journal.PreviousOwnerReleased() {
+		return c.config.OrderLease
 	}
-	return c.config.Journal.Epoch() == 1 || now.Sub(c.startedAt) >= wait
+	return c.config.OrderLease + c.config.PermitTTL
+}
+
+// previousPermitEnded reports whether no previous owner can give orders any more.
+func (c *Controller) previousPermitEnded(now time.Time) bool {
+	return c.config.Journal.Epoch() == 1 || c.config.Journal.PreviousOwnerReleased() || now.Sub(c.startedAt) >= c.config.PermitTTL
 }
 
 func disruptionKey(name apmachine.Name) apfleet.Key {
--- a/internal/apowner/apowner.go
+++ b/internal/apowner/apowner.go
@@ -324,7 +324,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	err := o.config.Journal.Release(ctx)
+	err := o.config.Journal.Release(ctx, true)
 	o.logEvents()
 	o.config.Log("ShardReleased", map[string]any{"Shard": o.config.Shard, "Error": err})
 	return err
--- a/internal/aprelay/aprelay.go
+++ b/internal/aprelay/aprelay.go
@@ -117,7 +117,11 @@
 	defer cancel()
 	results := make(chan outcome, 1)
 	s.group.Go(func() error {
-		results <- s.callOwn(ownCtx, r)
+		own := outcome{}
+		if err := apgroup.CatchPanic(func() error { own = s.callOwn(ownCtx, r); return nil }); err != nil {
+			own.err = err
+		}
+		results <- own
 		return nil
 	})
 	hedge := time.NewTimer(r.Wait + hedgeDelay)
--- a/internal/aprelay/aprelay_test.go
+++ b/internal/aprelay/aprelay_test.go
@@ -159,6 +159,21 @@
 	assert.Equal(t, apcode.Of(err), apcode.StoreUnknown)
 }
 
+// panickingStore panics when it is read.
+type panickingStore struct{ *turnedAway }
+
+func (panickingStore) Read(context.Context, apfleet.Key) (apstore.Value, error) {
+	panic("an index out of range")
+}
+
+func TestPanicEndsOneCall(t *testing.T) {
+	relay := aprelay.New(panickingStore{newAccess(memory.New())}, peerList{}, logNothing)
+	_, err := relay.Read(t.Context(), "k")
+	assert.Equal(t, apcode.Of(err), apcode.Panicked)
+	_, err = relay.Commit(t.Context(), putOnce)
+	assert.NilError(t, err)
+}
+
 // An entry without peers, or whose peers are gone, behaves as without a relay.
 func TestUnreachablePeers(t *testing.T) {
 	for _, list := range []peerList{nil, {netip.MustParseAddrPort("127.0.0.1:1")}} {
--- a/pkg/apjournal/apjournal.go
+++ b/pkg/apjournal/apjournal.go
@@ -102,8 +102,8 @@
 // Epoch returns the number of this ownership.
 func (j *Journal) Epoch() uint64 { return j.epoch.Number }
 
-// PreviousOwnerReleased reports whether the previous owner released the shard and does nothing more. Only a release
-// that is recorded in the store counts.
+// PreviousOwnerReleased reports whether the previous owner released the shard, and neither it nor an earlier one does
+// anything more. Only a release that is recorded in the store counts.
 func (j *Journal) PreviousOwnerReleased() bool { return j.previousOwnerReleased }
 
 // PreviousProtocol returns the version of the rules that the previous owner followed.
@@ -161,9 +161,10 @@
 	return nil
 }
 
-// Release releases the shard so that another entry can claim it at once.
-func (j *Journal) Release(ctx context.Context) error {
+// Release releases the shard so that another entry can claim it at once. quiet tells the next owner that neither this one
+// nor an earlier one does anything more.
+func (j *Journal) Release(ctx context.Context, quiet bool) error {
 	released := j.epoch
-	released.Released = true
+	released.Released = quiet
 	return j.storeAs(ctx, released, Write{Removals: []apfleet.Key{OwnerKey(j.shard)}}, func(error) {})
 }
--- a/pkg/apjournal/records.go
+++ b/pkg/apjournal/records.go
@@ -15,7 +15,7 @@
 	Number uint64 `cbor:"Number"`
 	// WriteNumber increases with every write of the owner.
 	WriteNumber uint64 `cbor:"Write"`
-	// Released is true when the owner has released the shard and does nothing more.
+	// Released is true when the owner has released the shard, and neither it nor an earlier one does anything more.
 	Released bool `cbor:"Released"`
 	// Protocol is the version of the rules that the owner follows. It is 0 for owners older than the field.
 	Protocol Protocol `cbor:"Protocol,omitempty"`
