--- a/internal/aprelay/aprelay.go
+++ b/internal/aprelay/aprelay.go
@@ -117,11 +117,7 @@
 	defer cancel()
 	results := make(chan outcome, 1)
 	s.group.Go(func() error {
-		own := outcome{}
-		if err := apgroup.CatchPanic(func() error { own = s.callOwn(ownCtx, r); return nil }); err != nil {
-			own.err = err
-		}
-		results <- own
+		results <- s.callOwn(ownCtx, r)
 		return nil
 	})
 	hedge := time.NewTimer(r.Wait + hedgeDelay)
@@ -141,10 +137,14 @@
 	return result.answer, result.err
 }
 
-// callOwn sends a call to the own store and notes whether it answers.
+// callOwn sends a call to the own store and notes whether it answers. A panic of the store's client becomes the call's
+// error.
 func (s *Store) callOwn(ctx context.Context, r request) outcome {
-	answer, err := perform(ctx, s.own, r)
-	result := outcome{answer, err}
+	var result outcome
+	result.err = apgroup.CatchPanic(func() (err error) {
+		result.answer, err = perform(ctx, s.own, r)
+		return err
+	})
 	if result.settled() || ctx.Err() == nil {
 		s.noteOwn(result.settled())
 	}
--- a/internal/aprelay/aprelay_test.go
+++ b/internal/aprelay/aprelay_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/coder/websocket"
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"auburnport/internal/aprelay"
@@ -172,6 +173,25 @@
 	assert.Equal(t, apcode.Of(err), apcode.Panicked)
 	_, err = relay.Commit(t.Context(), putOnce)
 	assert.NilError(t, err)
+
+	address := serveRelay(t, relay)
+	turnedAway := newAccess(memory.New())
+	turnedAway.code.Store(uint32(apcode.StoreUnavailable))
+	_, err = aprelay.New(turnedAway, peerList{address}, logNothing).Read(t.Context(), "k")
+	assert.Equal(t, apcode.Of(err), apcode.Panicked, "a peer answers the call that panicked")
+}
+
+// Callers use a relay at the same time from its first call on.
+func TestConcurrentCalls(t *testing.T) {
+	relay, _, _ := newPair(t)
+	var callers errgroup.Group
+	for range 20 {
+		callers.Go(func() error {
+			_, err := relay.Read(t.Context(), "k")
+			return err
+		})
+	}
+	assert.NilError(t, callers.Wait())
 }
 
 // An entry without peers, or whose peers are gone, behaves as without a relay.
