apcontroller: the wait after a takeover stands in one place

The set of machines that may not be ordered yet was kept twice, as inherited with its own condition and as the plan's Withheld; a mark that a plan can't cause is gone (nothing is opened for a withheld machine). No change of behaviour.

--- a/internal/apcontroller/apcontroller.go
+++ b/internal/apcontroller/apcontroller.go
@@ -87,9 +87,6 @@
 	startedAt time.Time
 	// listedAt is when the machine list was last read.
 	listedAt time.Time
-	// inherited holds the machines that a previous owner may have ordered shortly before the takeover, or may still
-	// order under its permit.
-	inherited map[apmachine.Name]bool
 	// recordExpiry is the time until which the record of an executed order is kept for a successor.
 	recordExpiry map[apmachine.Name]time.Time
 	// away holds the machines whose order succeeded, until they are up again.
@@ -110,14 +107,14 @@
 func New(config Config) *Controller {
 	return &Controller{
 		config: config, updates: make(chan func(), 64),
-		inherited: make(map[apmachine.Name]bool), recordExpiry: make(map[apmachine.Name]time.Time),
-		away: make(map[apmachine.Name]awayMachine), retryAt: make(map[apmachine.Name]time.Time), waveNumbers: make(map[apfleet.Key]int),
+		recordExpiry: make(map[apmachine.Name]time.Time),
+		away:         make(map[apmachine.Name]awayMachine), retryAt: make(map[apmachine.Name]time.Time), waveNumbers: make(map[apfleet.Key]int),
 		published:   make(map[apfleet.ServiceName][]apjob.WorkerID),
 		loggedSizes: make(map[apfleet.ServiceName][2]int),
 		tables: apmachine.Tables{
 			WaveFirstSeen: make(map[int]time.Time), Progress: make(map[int]apmachine.WaveProgress),
 			Disruptions: make(map[apmachine.Name]apmachine.Disruption), Pools: make(map[apfleet.ServiceName]apmachine.PoolReport),
-			UpSince: make(map[apmachine.Name]time.Time),
+			UpSince: make(map[apmachine.Name]time.Time), Withheld: make(map[apmachine.Name]bool),
 		},
 	}
 }
@@ -144,7 +141,7 @@
 	if ctx.Err() != nil {
 		last, stop := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 		defer stop()
-		return c.config.Journal.Release(last, c.previousPermitEnded(time.Now()))
+		return c.config.Journal.Release(last, time.Since(c.startedAt) >= c.previousPermit())
 	}
 	return err
 }
@@ -173,7 +170,7 @@
 			continue
 		}
 		if d.Ordered || d.RecentOrder || c.config.Journal.PreviousProtocol() < apjournal.ProtocolMarkedOrders {
-			c.inherited[d.Machine] = true
+			c.tables.Withheld[d.Machine] = true
 		}
 		if d.Ordered {
 			c.recordExpiry[d.Machine] = c.startedAt.Add(c.inheritedWait())
@@ -214,8 +211,8 @@
 	}
 	c.tables.Now, c.tables.Started = now, c.startedAt
 	c.tables.FirstController = c.config.Journal.Epoch() == 1
-	if c.tables.Withheld = c.inherited; c.mayOrderInherited(now) {
-		c.tables.Withheld = nil
+	if now.Sub(c.startedAt) >= c.inheritedWait() {
+		clear(c.tables.Withheld)
 	}
 	if table := c.config.Queues(); table != nil {
 		for _, s := range table.Services {
--- a/internal/apcontroller/order.go
+++ b/internal/apcontroller/order.go
@@ -58,8 +58,7 @@
 		switch action := action.(type) {
 		case apmachine.OpenDisruption:
 			d := action.Disruption
-			_, recent := c.recordExpiry[d.Machine]
-			d.RecentOrder = recent || c.tables.Withheld[d.Machine]
+			_, d.RecentOrder = c.recordExpiry[d.Machine]
 			c.config.Log("DisruptionOpened", map[string]any{"Machine": d.Machine, "Worker": d.Worker, "Pool": d.Pool, "Wave": d.Wave, "Target": d.Target, "ListAgeMs": now.Sub(c.listedAt).Milliseconds()})
 			write.Puts = append(write.Puts, disruptionPut(d))
 			opened = append(opened, d)
@@ -74,7 +73,7 @@
 			}
 			delete(c.tables.Disruptions, action.Machine)
 		case apmachine.ExecuteDisruption:
-			if len(orders) < maxOrdersPerStep && now.After(c.retryAt[action.Disruption.Machine]) && c.orderAllowed(action.Disruption.Machine, now) {
+			if len(orders) < maxOrdersPerStep && now.After(c.retryAt[action.Disruption.Machine]) && !c.tables.Withheld[action.Disruption.Machine] {
 				orders = append(orders, action.Disruption)
 			}
 		case apmachine.CompleteWave:
@@ -139,29 +138,17 @@
 	c.recordExpiry[d.Machine] = now.Add(c.config.OrderLease)
 }
 
-// orderAllowed reports whether a machine may be ordered without coming too soon after an order of a previous owner.
-func (c *Controller) orderAllowed(name apmachine.Name, now time.Time) bool {
-	return !c.inherited[name] || c.mayOrderInherited(now)
-}
-
-// mayOrderInherited reports whether the machines that a previous owner may have ordered may be ordered again.
-func (c *Controller) mayOrderInherited(now time.Time) bool {
-	return c.config.Journal.Epoch() == 1 || now.Sub(c.startedAt) >= c.inheritedWait()
-}
-
-// inheritedWait returns how long after the takeover an order may come too soon after one of a previous owner. Unless the
-// shard was released, a previous owner may go on to give orders until its permit ends.
-func (c *Controller) inheritedWait() time.Duration {
-	if c.config.Journal.PreviousOwnerReleased() {
-		return c.config.OrderLease
+// previousPermit returns how long after the takeover a previous owner may still give orders: not at all if the shard was
+// released, or had no owner before.
+func (c *Controller) previousPermit() time.Duration {
+	if c.config.Journal.Epoch() == 1 || c.config.Journal.PreviousOwnerReleased() {
+		return 0
 	}
-	return c.config.OrderLease + c.config.PermitTTL
+	return c.config.PermitTTL
 }
 
-// previousPermitEnded reports whether no previous owner can give orders any more.
-func (c *Controller) previousPermitEnded(now time.Time) bool {
-	return c.config.Journal.Epoch() == 1 || c.config.Journal.PreviousOwnerReleased() || now.Sub(c.startedAt) >= c.config.PermitTTL
-}
+// inheritedWait returns how long after the takeover an order may come too soon after one of a previous owner.
+func (c *Controller) inheritedWait() time.Duration { return c.previousPermit() + c.config.OrderLease }
 
 func disruptionKey(name apmachine.Name) apfleet.Key {
 	return apjournal.PrefixDisruptions + apfleet.Key(name)
