--- /dev/null
+++ b/review/standin/cases.go
@@ -0,0 +1,345 @@
+//go:build review
+
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// The bounds of the settings that the checks use.
+const (
+	configTime  = 2 * time.Second
+	visibleTime = 3 * time.Second
+	finishTime  = 14 * time.Second
+	// idleTime is how long a job may have nothing running while a work item's turn has come.
+	idleTime = 3 * time.Second
+	// restartTime is how long after its last run a work item that lasts counts as due.
+	restartTime = 6 * time.Second
+)
+
+var cases = map[string]caseOf{
+	"route-moves":    {"TWICE", prepareRouteMoves, runRouteMoves},
+	"lasting-done":   {"LOST", prepareLastingDone, runLastingDone},
+	"label-failed":   {"LOST", prepareLabelFailed, runLabelFailed},
+	"route-returns":  {"LOST", prepareRouteReturns, runRouteReturns},
+	"fills-no-place": {"LOST", prepareFills, runFills},
+	// Plays that only the report tells of.
+	"advice-full":  {"LOST", prepareAdvice, runAdvice},
+	"advice-moves": {"LOST", prepareAdvice, runAdviceMoves},
+	"other-kind":   {"ROUTE", prepareOtherKind, runOtherKind},
+}
+
+var errRefused = errors.New("the job was not accepted")
+
+// rackSize is the number of minions in a rack.
+const rackSize = 12
+
+// addMinions starts minions of a service.
+func (p *play) addMinions(service string, n int, labels func(i int) []string) error {
+	for i := range n {
+		if _, err := p.addMinion(service, fmt.Sprintf("r1-%d", i/rackSize), labels(i)...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func kindA(int) []string { return []string{"a"} }
+
+// worksFor makes every run end done after a time.
+func worksFor(d time.Duration) func(*minion, runKey) behaviour {
+	return func(*minion, runKey) behaviour { return behaviour{after: d, how: "done"} }
+}
+
+// Case route-moves: the operator sends a queue to another service while a job of it runs, and the request for the job
+// arrives again.
+
+var (
+	movedRoute    = newRoute("r-anu6wsj", "/puxa400/", "huvo11a", 2)
+	routeServices = []string{"huvo11a", "kafi81c"}
+)
+
+func prepareRouteMoves(p *play) error {
+	p.behave = worksFor(15 * time.Second)
+	for _, name := range routeServices {
+		if err := p.addMinions(name, 4, kindA); err != nil {
+			return err
+		}
+	}
+	return p.configure(7, routeServices, movedRoute)
+}
+
+func runRouteMoves(p *play) error {
+	const id = "5c0e7a21d94b36f8"
+	j := &job{Spec: "route-moves", Steps: []step{{Count: 4, Cpu: 1000, MemMb: 256, EstimateMs: 15000}}}
+	if a := p.submit(p.nodes[0], movedRoute, id, j); a.Status != http.StatusOK {
+		return errRefused
+	}
+	accepted := time.Now()
+	if !waitFor(5*time.Second, func() bool { return p.runningItems(id) == 4 }) {
+		return errors.New("the job did not start")
+	}
+	moved := movedRoute
+	if p.trouble {
+		moved.Service = "kafi81c"
+		if err := p.configure(9, routeServices, moved); err != nil {
+			return err
+		}
+	}
+	confirmed := time.Now()
+	time.Sleep(max(time.Until(confirmed.Add(configTime)), time.Until(accepted.Add(visibleTime))) + 500*time.Millisecond)
+	for _, n := range p.nodes {
+		if a := p.state(n, moved, id); a.Status == http.StatusGone {
+			p.record.breachf("LOST: %s answers 410 for an accepted job that nobody has cancelled", n.name)
+		}
+	}
+	p.submit(p.nodes[1], moved, id, j)
+	time.Sleep(5 * time.Second)
+	return nil
+}
+
+// Case lasting-done: a run of a work item that lasts ends done.
+
+func prepareLastingDone(p *play) error {
+	p.behave = func(m *minion, key runKey) behaviour {
+		_, _, _, index, _ := parseItem(key.item)
+		if p.trouble && index == 0 && key.run == 1 {
+			return behaviour{after: 4 * time.Second, how: "done"}
+		}
+		return behaviour{}
+	}
+	if err := p.addMinions("huvo11a", 6, kindA); err != nil {
+		return err
+	}
+	return p.configure(7, []string{"huvo11a"}, lastingRoute)
+}
+
+var lastingRoute = newRoute("r-nbanfqa", "/cufi501/fi50/", "huvo11a", 4)
+
+func runLastingDone(p *play) error {
+	const id = "7be10c22d94b36a1"
+	j := &job{Spec: "lasting-done", Steps: []step{{Count: 5, Cpu: 2000, MemMb: 1024, LongRunning: true, MayMiss: 1}}}
+	if a := p.submit(p.nodes[0], lastingRoute, id, j); a.Status != http.StatusOK {
+		return errRefused
+	}
+	if !waitFor(8*time.Second, func() bool { return p.runningItems(id) == 5 }) {
+		return errors.New("the job did not start")
+	}
+	// The run that ends does so after 4 s of work.
+	time.Sleep(6 * time.Second)
+	p.checkLasting(id, 5, 20*time.Second)
+	for _, n := range p.nodes {
+		p.state(n, lastingRoute, id)
+	}
+	return nil
+}
+
+// checkLasting watches the work items of a job's first step for a time: LOST is broken if one has nothing running for idleTime,
+// later than restartTime after its last run.
+func (p *play) checkLasting(id string, count int, watch time.Duration) {
+	idleSince := make(map[string]time.Time)
+	for end := time.Now().Add(watch); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for k := range count {
+			item := fmt.Sprintf("%s.0.0.%d", id, k)
+			p.mu.Lock()
+			last := p.jobs[id].lastEnd[item]
+			p.mu.Unlock()
+			switch {
+			case p.isRunning(item) || time.Since(last) < restartTime:
+				delete(idleSince, item)
+			case idleSince[item].IsZero():
+				idleSince[item] = time.Now()
+			case time.Since(idleSince[item]) > idleTime:
+				p.record.breachf("LOST: nothing runs of %s, which lasts, %s after the end of its last run", item, time.Since(last).Round(time.Millisecond))
+				return
+			}
+		}
+	}
+}
+
+// Case label-failed: a work item that only one minion may run has failed there once, because the minion failed all that
+// it started for a time.
+
+const labelledMinions = 12
+
+func prepareLabelFailed(p *play) error {
+	p.behave = worksFor(time.Second)
+	err := p.addMinions("huvo11a", labelledMinions, func(i int) []string {
+		if i == 5 {
+			return []string{"b"}
+		}
+		return []string{"a"}
+	})
+	if err != nil {
+		return err
+	}
+	return p.configure(7, []string{"huvo11a"}, labelRoute)
+}
+
+var labelRoute = newRoute("r-anu6wsj", "/puxa400/", "huvo11a", 4)
+
+func runLabelFailed(p *play) error {
+	const id, item = "11aa7a21d94b36f8", "11aa7a21d94b36f8.0.0.0"
+	p.setFailing(5, p.trouble)
+	j := &job{Spec: "label-failed", Steps: []step{{Count: 1, Cpu: 1000, MemMb: 256, EstimateMs: 1000, RequiredLabel: "b"}}}
+	if a := p.submit(p.nodes[0], labelRoute, id, j); a.Status != http.StatusOK {
+		return errRefused
+	}
+	// Work items of other jobs keep the pool busy at a low level meanwhile.
+	other := &job{Spec: "label-failed other", Steps: []step{{Count: 6, Cpu: 1000, MemMb: 256, EstimateMs: 1000}}}
+	if a := p.submit(p.nodes[1], labelRoute, "22bb7a21d94b36f8", other); a.Status != http.StatusOK {
+		return errRefused
+	}
+	if p.trouble && !waitFor(5*time.Second, func() bool { return p.failures(id, item) > 0 }) {
+		return errors.New("the run did not fail")
+	}
+	time.Sleep(500 * time.Millisecond)
+	p.setFailing(5, false)
+	p.checkFinished(id, labelRoute)
+	return nil
+}
+
+// setFailing makes a minion fail all that it starts, or no longer.
+func (p *play) setFailing(i int, failing bool) {
+	p.mu.Lock()
+	p.minions[i].failing = failing
+	p.mu.Unlock()
+	p.record.logf("%s fails all that it starts: %t", p.minions[i].id, failing)
+}
+
+// checkFinished waits for finishTime and then checks LOST: each node answers for the job, and the job is final or has
+// something running.
+func (p *play) checkFinished(id string, r route) {
+	time.Sleep(finishTime)
+	if a := p.state(p.nodes[2], r, id); a.Status != http.StatusOK {
+		p.record.breachf("LOST: the state of job %s isn't known, status %d", id, a.Status)
+	} else if a.State == "completed" || a.State == "failed" {
+		return
+	}
+	for end := time.Now().Add(idleTime + 500*time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if p.runningItems(id) > 0 {
+			return
+		}
+	}
+	if a := p.state(p.nodes[2], r, id); a.State != "completed" && a.State != "failed" {
+		p.record.breachf("LOST: job %s is shown as %s and has nothing running for %s, %s after the end of the traffic", id, a.State, idleTime, finishTime)
+	}
+}
+
+// Case route-returns: the operator removes a queue by mistake and adds it again some seconds later. Meanwhile the first run
+// of a work item of an accepted job fails.
+
+var returningRoute = newRoute("r-anu6wsj", "/puxa400/", "huvo11a", 4)
+
+func prepareRouteReturns(p *play) error {
+	p.behave = func(_ *minion, key runKey) behaviour {
+		if key.run == 1 {
+			return behaviour{after: 4 * time.Second, how: "failed"}
+		}
+		return behaviour{after: 4 * time.Second, how: "done"}
+	}
+	if err := p.addMinions("huvo11a", 6, kindA); err != nil {
+		return err
+	}
+	return p.configure(7, []string{"huvo11a"}, otherRoute, returningRoute)
+}
+
+var otherRoute = newRoute("r-k9m68k7", "/wuhu344/", "huvo11a", 2)
+
+func runRouteReturns(p *play) error {
+	const id, item = "33cc7a21d94b36f8", "33cc7a21d94b36f8.0.0.0"
+	j := &job{Spec: "route-returns", Steps: []step{{Count: 1, Cpu: 1000, MemMb: 256, EstimateMs: 4000}}}
+	if a := p.submit(p.nodes[0], returningRoute, id, j); a.Status != http.StatusOK {
+		return errRefused
+	}
+	if !waitFor(3*time.Second, func() bool { return p.isRunning(item) }) {
+		return errors.New("the job did not start")
+	}
+	if p.trouble {
+		if err := p.configure(9, []string{"huvo11a"}, otherRoute); err != nil {
+			return err
+		}
+	}
+	if !waitFor(8*time.Second, func() bool { return p.failures(id, item) > 0 }) {
+		return errors.New("the first run did not end")
+	}
+	time.Sleep(500 * time.Millisecond)
+	if p.trouble {
+		if err := p.configure(12, []string{"huvo11a"}, otherRoute, returningRoute); err != nil {
+			return err
+		}
+	}
+	time.Sleep(configTime + time.Second)
+	for _, n := range p.nodes {
+		if a := p.state(n, returningRoute, id); a.State == "failed" && p.failures(id, item) < returningRoute.MaxAttempts {
+			p.record.breachf("LOST: %s shows the job as failed after %d of %d attempts", n.name, p.failures(id, item), returningRoute.MaxAttempts)
+		}
+	}
+	return nil
+}
+
+// Case fills-no-place: the only minion without a work item that serves is lost for good, and with it the work items that
+// fill.
+
+const fillMinions = 8
+
+var (
+	servingRoute = newRoute("r-nbanfqa", "/cufi501/fi50/", "huvo11a", 4)
+	fillingRoute = newRoute("r-anu6wsj", "/puxa400/", "huvo11a", 4)
+)
+
+func prepareFills(p *play) error {
+	p.behave = func(_ *minion, key runKey) behaviour {
+		if p.lasts(key) {
+			return behaviour{}
+		}
+		return behaviour{after: 6 * time.Second, how: "done"}
+	}
+	if err := p.addMinions("huvo11a", fillMinions, kindA); err != nil {
+		return err
+	}
+	return p.configure(7, []string{"huvo11a"}, servingRoute, fillingRoute)
+}
+
+func runFills(p *play) error {
+	const serving, filling = "44dd7a21d94b36f8", "55ee7a21d94b36f8"
+	j := &job{Spec: "serving", Steps: []step{{
+		Count: fillMinions - 1, Cpu: 2000, MemMb: 2048, LongRunning: true, MaxPerServer: 1, MayMiss: 1, TargetMs: 200, Image: "front-1",
+	}}}
+	if a := p.submit(p.nodes[0], servingRoute, serving, j); a.Status != http.StatusOK {
+		return errRefused
+	}
+	if !waitFor(8*time.Second, func() bool { return p.runningItems(serving) == fillMinions-1 }) {
+		return errors.New("the serving job did not start")
+	}
+	f := &job{Spec: "filling", Steps: []step{{Count: 2, Cpu: 4000, MemMb: 1024, EstimateMs: 6000, Fills: true, Image: "batch-1"}}}
+	if a := p.submit(p.nodes[1], fillingRoute, filling, f); a.Status != http.StatusOK {
+		return errRefused
+	}
+	if !waitFor(5*time.Second, func() bool { return p.runningItems(filling) == 2 }) {
+		return errors.New("the filling job did not start")
+	}
+	time.Sleep(time.Second)
+	if p.trouble {
+		p.minionOf(filling).crash()
+	}
+	p.checkFinished(filling, fillingRoute)
+	return nil
+}
+
+// minionOf returns a minion that runs a work item of a job.
+func (p *play) minionOf(id string) *minion {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.minions {
+		for key := range m.running {
+			if job, _, _, _, err := parseItem(key.item); err == nil && job == id {
+				return m
+			}
+		}
+	}
+	return p.minions[0]
+}
