--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -21,15 +22,17 @@
 )
 
 var cases = map[string]caseOf{
-	"route-moves":    {"TWICE", prepareRouteMoves, runRouteMoves},
-	"lasting-done":   {"LOST", prepareLastingDone, runLastingDone},
-	"label-failed":   {"LOST", prepareLabelFailed, runLabelFailed},
-	"route-returns":  {"LOST", prepareRouteReturns, runRouteReturns},
-	"fills-no-place": {"LOST", prepareFills, runFills},
+	"route-moves":   {"TWICE", prepareRouteMoves, runRouteMoves},
+	"late-post":     {"UNASKED", prepareLatePost, runLatePost},
+	"lasting-done":  {"LOST", prepareLastingDone, runLastingDone},
+	"route-returns": {"LOST", prepareRouteReturns, runRouteReturns},
+	"label-failed":  {"LOST", prepareLabelFailed, runLabelFailed},
 	// Plays that only the report tells of.
-	"advice-full":  {"LOST", prepareAdvice, runAdvice},
-	"advice-moves": {"LOST", prepareAdvice, runAdviceMoves},
-	"other-kind":   {"ROUTE", prepareOtherKind, runOtherKind},
+	"fills-no-place": {"LOST", prepareFills, runFills},
+	"advice-full":    {"LOST", prepareAdvice, runAdvice},
+	"advice-moves":   {"LOST", prepareAdvice, runAdviceMoves},
+	"many-times":     {"LOST", prepareManyTimes, runManyTimes},
+	"other-kind":     {"ROUTE", prepareOtherKind, runOtherKind},
 }
 
 var errRefused = errors.New("the job was not accepted")
@@ -281,65 +284,45 @@
 	return nil
 }
 
-// Case fills-no-place: the only minion without a work item that serves is lost for good, and with it the work items that
-// fill.
+// Case late-post: requesters leave before their time limit and cancel what they sent, while the store loses answers and
+// carries changes out late.
 
-const fillMinions = 8
-
-var (
-	servingRoute = newRoute("r-nbanfqa", "/cufi501/fi50/", "huvo11a", 4)
-	fillingRoute = newRoute("r-anu6wsj", "/puxa400/", "huvo11a", 4)
+const (
+	// cancelTime is cancel_ms, contactTime ContactMs of the settings.
+	cancelTime  = 3 * time.Second
+	contactTime = 3 * time.Second
+	// leaveAfter is when a requester leaves.
+	leaveAfter = 400 * time.Millisecond
+	latePosts  = 12
 )
 
-func prepareFills(p *play) error {
-	p.behave = func(_ *minion, key runKey) behaviour {
-		if p.lasts(key) {
-			return behaviour{}
-		}
-		return behaviour{after: 6 * time.Second, how: "done"}
-	}
-	if err := p.addMinions("huvo11a", fillMinions, kindA); err != nil {
+func prepareLatePost(p *play) error {
+	p.behave = worksFor(time.Second)
+	if err := p.addMinions("huvo11a", 6, kindA); err != nil {
 		return err
 	}
-	return p.configure(7, []string{"huvo11a"}, servingRoute, fillingRoute)
-}
-
-func runFills(p *play) error {
-	const serving, filling = "44dd7a21d94b36f8", "55ee7a21d94b36f8"
-	j := &job{Spec: "serving", Steps: []step{{
-		Count: fillMinions - 1, Cpu: 2000, MemMb: 2048, LongRunning: true, MaxPerServer: 1, MayMiss: 1, TargetMs: 200, Image: "front-1",
-	}}}
-	if a := p.submit(p.nodes[0], servingRoute, serving, j); a.Status != http.StatusOK {
-		return errRefused
-	}
-	if !waitFor(8*time.Second, func() bool { return p.runningItems(serving) == fillMinions-1 }) {
-		return errors.New("the serving job did not start")
-	}
-	f := &job{Spec: "filling", Steps: []step{{Count: 2, Cpu: 4000, MemMb: 1024, EstimateMs: 6000, Fills: true, Image: "batch-1"}}}
-	if a := p.submit(p.nodes[1], fillingRoute, filling, f); a.Status != http.StatusOK {
-		return errRefused
-	}
-	if !waitFor(5*time.Second, func() bool { return p.runningItems(filling) == 2 }) {
-		return errors.New("the filling job did not start")
-	}
-	time.Sleep(time.Second)
-	if p.trouble {
-		p.minionOf(filling).crash()
-	}
-	p.checkFinished(filling, fillingRoute)
-	return nil
+	return p.configure(7, []string{"huvo11a"}, otherRoute)
 }
 
-// minionOf returns a minion that runs a work item of a job.
-func (p *play) minionOf(id string) *minion {
+func runLatePost(p *play) error {
+	p.losing.Store(p.trouble)
+	var requesters sync.WaitGroup
+	for i := range latePosts {
+		requesters.Go(func() {
+			id := fmt.Sprintf("%016x", 0x5c0e7a21d94b0000+i)
+			n := p.nodes[i%len(p.nodes)]
+			j := &job{Spec: "late-post", Steps: []step{{Count: 2, Cpu: 1000, MemMb: 256, EstimateMs: 1000}, {Count: 2, Cpu: 1000, MemMb: 256, EstimateMs: 1000, After: []int{0}}}}
+			p.submitWithin(leaveAfter, n, otherRoute, id, j)
+			p.cancelUntilAcknowledged(p.nodes[(i+1)%len(p.nodes)], otherRoute, id)
+		})
+		time.Sleep(100 * time.Millisecond)
+	}
+	p.losing.Store(false)
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, m := range p.minions {
-		for key := range m.running {
-			if job, _, _, _, err := parseItem(key.item); err == nil && job == id {
-				return m
-			}
-		}
-	}
-	return p.minions[0]
+	p.calmSince = time.Now()
+	p.mu.Unlock()
+	p.record.logf("the store answers all changes")
+	requesters.Wait()
+	time.Sleep(9 * time.Second)
+	return nil
 }
--- a/review/standin/further.go
+++ b/review/standin/further.go
@@ -143,3 +143,101 @@
 	time.Sleep(4 * time.Second)
 	return nil
 }
+
+// Case many-times: a job comes that can never be done, a schedule whose times have all come.
+
+const (
+	manyTimes = 1440
+	manyItems = 125
+)
+
+func prepareManyTimes(p *play) error {
+	p.behave = worksFor(time.Second)
+	if err := p.addMinions("huvo11a", 6, kindA); err != nil {
+		return err
+	}
+	return p.configure(7, []string{"huvo11a"}, otherRoute, returningRoute)
+}
+
+func runManyTimes(p *play) error {
+	const many, after = "aadd7a21d94b36f8", "bbee7a21d94b36f8"
+	if p.trouble {
+		j := &job{
+			Spec: "many-times", Steps: []step{{Count: manyItems, Cpu: 500, MemMb: 128, EstimateMs: 1000}},
+			RepeatCount: manyTimes, FirstRunMs: time.Now().Add(-manyTimes * time.Minute).UnixMilli(), IntervalMs: time.Minute.Milliseconds(),
+		}
+		if s := p.submit(p.nodes[0], returningRoute, many, j); s.Status != http.StatusOK {
+			return errRefused
+		}
+		time.Sleep(2 * time.Second)
+	}
+	j := &job{Spec: "after", Steps: []step{{Count: 2, Cpu: 1000, MemMb: 256, EstimateMs: 1000}}}
+	if s := p.submit(p.nodes[1], otherRoute, after, j); s.Status != http.StatusOK {
+		return errRefused
+	}
+	p.checkFinished(after, otherRoute)
+	return nil
+}
+
+// Case fills-no-place: the only minion without a work item that serves is lost for good, and with it the work items that
+// fill.
+
+const fillMinions = 8
+
+var (
+	servingRoute = newRoute("r-nbanfqa", "/cufi501/fi50/", "huvo11a", 4)
+	fillingRoute = newRoute("r-anu6wsj", "/puxa400/", "huvo11a", 4)
+)
+
+func prepareFills(p *play) error {
+	p.behave = func(_ *minion, key runKey) behaviour {
+		if p.lasts(key) {
+			return behaviour{}
+		}
+		return behaviour{after: 6 * time.Second, how: "done"}
+	}
+	if err := p.addMinions("huvo11a", fillMinions, kindA); err != nil {
+		return err
+	}
+	return p.configure(7, []string{"huvo11a"}, servingRoute, fillingRoute)
+}
+
+func runFills(p *play) error {
+	const serving, filling = "44dd7a21d94b36f8", "55ee7a21d94b36f8"
+	j := &job{Spec: "serving", Steps: []step{{
+		Count: fillMinions - 1, Cpu: 2000, MemMb: 2048, LongRunning: true, MaxPerServer: 1, MayMiss: 1, TargetMs: 200, Image: "front-1",
+	}}}
+	if a := p.submit(p.nodes[0], servingRoute, serving, j); a.Status != http.StatusOK {
+		return errRefused
+	}
+	if !waitFor(8*time.Second, func() bool { return p.runningItems(serving) == fillMinions-1 }) {
+		return errors.New("the serving job did not start")
+	}
+	f := &job{Spec: "filling", Steps: []step{{Count: 2, Cpu: 4000, MemMb: 1024, EstimateMs: 6000, Fills: true, Image: "batch-1"}}}
+	if a := p.submit(p.nodes[1], fillingRoute, filling, f); a.Status != http.StatusOK {
+		return errRefused
+	}
+	if !waitFor(5*time.Second, func() bool { return p.runningItems(filling) == 2 }) {
+		return errors.New("the filling job did not start")
+	}
+	time.Sleep(time.Second)
+	if p.trouble {
+		p.minionOf(filling).crash()
+	}
+	p.checkFinished(filling, fillingRoute)
+	return nil
+}
+
+// minionOf returns a minion that runs a work item of a job.
+func (p *play) minionOf(id string) *minion {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.minions {
+		for key := range m.running {
+			if job, _, _, _, err := parseItem(key.item); err == nil && job == id {
+				return m
+			}
+		}
+	}
+	return p.minions[0]
+}
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -40,7 +40,7 @@
 // newNode writes the settings file of a node.
 func newNode(p *platform, i int, command, dir, machines, advice string) (*node, error) {
 	n := &node{name: fmt.Sprintf("front-zone-a-%d", i+1), command: strings.Fields(command)}
-	store, _, err := p.serve(p.storeServer.Handler(n.name))
+	store, _, err := p.serve(p.limitValues(p.loseAnswers(p.storeServer.Handler(n.name))))
 	if err != nil {
 		return nil, err
 	}
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -3,14 +3,19 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"auburnport/pkg/apfleet"
@@ -38,6 +43,10 @@
 	active  map[string]map[*minion]int
 	done    map[string]time.Time
 	servers []*http.Server
+	// calmSince is when the last impairment ended.
+	calmSince time.Time
+	// losing is true while the store loses answers.
+	losing  atomic.Bool
 	stopped chan struct{}
 	group   sync.WaitGroup
 }
@@ -174,6 +183,9 @@
 	case body.Spec != j.Spec:
 		p.record.breachf("UNASKED: %s is started on %s with another Spec", key, m.id)
 	}
+	if !j.cancelledAt.IsZero() && now.Sub(j.cancelledAt) > cancelTime && now.Sub(p.calmSince) > contactTime {
+		p.record.breachf("UNASKED: %s starts on %s %s after the cancelling of its job was acknowledged", key, m.id, now.Sub(j.cancelledAt).Round(time.Millisecond))
+	}
 	s := j.Steps[step]
 	if s.RequiredLabel != "" && !slices.Contains(m.labels, s.RequiredLabel) {
 		p.record.breachf("ROUTE: %s starts on %s, which has the labels %v and not %s", key, m.id, m.labels, s.RequiredLabel)
@@ -380,6 +392,70 @@
 	writeJSON(w, http.StatusOK, map[string]any{"Machines": rows, "NextToken": nil})
 }
 
+// valueBytes is ValueBytes of the settings.
+const valueBytes = 1 << 20
+
+// limitValues refuses the changes that put a value of more than valueBytes.
+func (p *platform) limitValues(store http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/auburnport/kv-txn" {
+			store.ServeHTTP(w, r)
+			return
+		}
+		data, err := io.ReadAll(r.Body)
+		var body struct {
+			Put []struct {
+				Key   string
+				Value []byte
+			}
+		}
+		if err == nil {
+			err = json.Unmarshal(data, &body)
+		}
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		for _, put := range body.Put {
+			if len(put.Value) > valueBytes {
+				p.record.logf("the store refuses %s, %d bytes", put.Key, len(put.Value))
+				w.WriteHeader(http.StatusBadRequest)
+				return
+			}
+		}
+		r.Body = io.NopCloser(bytes.NewReader(data))
+		store.ServeHTTP(w, r)
+	})
+}
+
+// loseAnswers loses the answers to a share of the changes while p.losing is set, and carries these out lateBy later.
+func (p *platform) loseAnswers(store http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/auburnport/kv-txn" || !p.losing.Load() || rand.Float64() >= lostShare {
+			store.ServeHTTP(w, r)
+			return
+		}
+		data, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		late := r.Clone(context.Background())
+		late.Body = io.NopCloser(bytes.NewReader(data))
+		time.AfterFunc(lateBy, func() {
+			answer := httptest.NewRecorder()
+			store.ServeHTTP(answer, late)
+			p.record.logf("the store carries out a change %s late: %d", lateBy, answer.Code)
+		})
+		// The channel returns nothing further.
+		<-r.Context().Done()
+	})
+}
+
+const (
+	lostShare = 0.35
+	lateBy    = 5500 * time.Millisecond
+)
+
 // advisor serves the calls for advice, one at a time. Its policy allows every minion of the queue's service.
 type advisor struct {
 	platform *platform
--- a/review/standin/requester.go
+++ b/review/standin/requester.go
@@ -38,6 +38,8 @@
 	// failures counts the runs of each work item that ended failed, lastEnd is when a run of it last ended.
 	failures map[string]int
 	lastEnd  map[string]time.Time
+	// cancelledAt is when the job's cancelling was acknowledged.
+	cancelledAt time.Time
 }
 
 // answer is the answer to a request. Status is 0 if there was none.
@@ -52,7 +54,12 @@
 
 // request sends one request.
 func (p *platform) request(method string, n *node, r route, id string, body []byte) answer {
-	ctx, cancel := context.WithTimeout(context.Background(), requestTime)
+	return p.requestWithin(requestTime, method, n, r, id, body)
+}
+
+// requestWithin sends one request and leaves after a time.
+func (p *platform) requestWithin(wait time.Duration, method string, n *node, r route, id string, body []byte) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	p.record.logf("%s %s%s to %s %s", method, r.Prefix, id, n.name, body)
 	var result answer
@@ -83,6 +90,11 @@
 
 // submit hands a job in. Submitting the same job again sends the same request.
 func (p *platform) submit(n *node, r route, id string, j *job) answer {
+	return p.submitWithin(requestTime, n, r, id, j)
+}
+
+// submitWithin hands a job in and leaves after a time.
+func (p *platform) submitWithin(wait time.Duration, n *node, r route, id string, j *job) answer {
 	data, err := json.Marshal(j)
 	if err != nil {
 		return answer{}
@@ -93,10 +105,23 @@
 		p.jobs[id] = j
 	}
 	p.mu.Unlock()
-	return p.request(http.MethodPost, n, r, id, data)
+	return p.requestWithin(wait, http.MethodPost, n, r, id, data)
 }
 
 // state asks for the state of a job.
 func (p *platform) state(n *node, r route, id string) answer {
 	return p.request(http.MethodGet, n, r, id, nil)
 }
+
+// cancelUntilAcknowledged cancels a job, and asks again until that is acknowledged.
+func (p *platform) cancelUntilAcknowledged(n *node, r route, id string) {
+	for range 5 {
+		if a := p.request(http.MethodDelete, n, r, id, nil); a.Status/100 == 2 || a.Status == http.StatusGone {
+			p.mu.Lock()
+			p.jobs[id].cancelledAt = time.Now()
+			p.mu.Unlock()
+			return
+		}
+		time.Sleep(time.Second)
+	}
+}
