--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -3,11 +3,15 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
 	"sync"
 	"time"
+
+	"auburnport/pkg/apfleet"
+	"auburnport/pkg/apjournal"
 )
 
 // The bounds of the settings that the checks use.
@@ -23,11 +27,13 @@
 
 var cases = map[string]caseOf{
 	"route-moves":   {"TWICE", prepareRouteMoves, runRouteMoves},
+	"longest-lease": {"TWICE", prepareLongestLease, runLongestLease},
 	"late-post":     {"UNASKED", prepareLatePost, runLatePost},
 	"lasting-done":  {"LOST", prepareLastingDone, runLastingDone},
-	"route-returns": {"LOST", prepareRouteReturns, runRouteReturns},
 	"label-failed":  {"LOST", prepareLabelFailed, runLabelFailed},
 	// Plays that only the report tells of.
+	"late-start":     {"TWICE", prepareLateStart, runLateStart},
+	"route-returns":  {"LOST", prepareRouteReturns, runRouteReturns},
 	"fills-no-place": {"LOST", prepareFills, runFills},
 	"advice-full":    {"LOST", prepareAdvice, runAdvice},
 	"advice-moves":   {"LOST", prepareAdvice, runAdviceMoves},
@@ -163,6 +169,49 @@
 	}
 }
 
+// Case late-post: requesters leave before their time limit and cancel what they sent, while the store loses answers and
+// carries changes out late.
+
+const (
+	// cancelTime is cancel_ms, contactTime ContactMs of the settings.
+	cancelTime  = 3 * time.Second
+	contactTime = 3 * time.Second
+	// leaveAfter is when a requester leaves.
+	leaveAfter = 400 * time.Millisecond
+	latePosts  = 12
+)
+
+func prepareLatePost(p *play) error {
+	p.behave = worksFor(time.Second)
+	if err := p.addMinions("huvo11a", 6, kindA); err != nil {
+		return err
+	}
+	return p.configure(7, []string{"huvo11a"}, otherRoute)
+}
+
+func runLatePost(p *play) error {
+	p.losing.Store(p.trouble)
+	var requesters sync.WaitGroup
+	for i := range latePosts {
+		requesters.Go(func() {
+			id := fmt.Sprintf("%016x", 0x5c0e7a21d94b0000+i)
+			n := p.nodes[i%len(p.nodes)]
+			j := &job{Spec: "late-post", Steps: []step{{Count: 2, Cpu: 1000, MemMb: 256, EstimateMs: 1000}, {Count: 2, Cpu: 1000, MemMb: 256, EstimateMs: 1000, After: []int{0}}}}
+			p.submitWithin(leaveAfter, n, otherRoute, id, j)
+			p.cancelUntilAcknowledged(p.nodes[(i+1)%len(p.nodes)], otherRoute, id)
+		})
+		time.Sleep(100 * time.Millisecond)
+	}
+	p.losing.Store(false)
+	p.mu.Lock()
+	p.calmSince = time.Now()
+	p.mu.Unlock()
+	p.record.logf("the store answers all changes")
+	requesters.Wait()
+	time.Sleep(9 * time.Second)
+	return nil
+}
+
 // Case label-failed: a work item that only one minion may run has failed there once, because the minion failed all that
 // it started for a time.
 
@@ -232,97 +281,69 @@
 	}
 }
 
-// Case route-returns: the operator removes a queue by mistake and adds it again some seconds later. Meanwhile the first run
-// of a work item of an accepted job fails.
-
-var returningRoute = newRoute("r-anu6wsj", "/puxa400/", "huvo11a", 4)
+// Case longest-lease: a minion crashes in silence and starts again under its id, and takes the deadline of a start for its
+// longest lease. The owner is killed, and the minion is cut off from the system's processes.
 
-func prepareRouteReturns(p *play) error {
-	p.behave = func(_ *minion, key runKey) behaviour {
-		if key.run == 1 {
-			return behaviour{after: 4 * time.Second, how: "failed"}
+func prepareLongestLease(p *play) error {
+	p.behave = worksFor(20 * time.Second)
+	p.longestLease = 10 * time.Second
+	if err := p.addMinions("huvo11a", 8, func(i int) []string {
+		if i < 2 {
+			return []string{"b"}
 		}
-		return behaviour{after: 4 * time.Second, how: "done"}
-	}
-	if err := p.addMinions("huvo11a", 6, kindA); err != nil {
+		return []string{"a"}
+	}); err != nil {
 		return err
 	}
-	return p.configure(7, []string{"huvo11a"}, otherRoute, returningRoute)
+	return p.configure(7, []string{"huvo11a"}, otherRoute)
 }
 
-var otherRoute = newRoute("r-k9m68k7", "/wuhu344/", "huvo11a", 2)
-
-func runRouteReturns(p *play) error {
-	const id, item = "33cc7a21d94b36f8", "33cc7a21d94b36f8.0.0.0"
-	j := &job{Spec: "route-returns", Steps: []step{{Count: 1, Cpu: 1000, MemMb: 256, EstimateMs: 4000}}}
-	if a := p.submit(p.nodes[0], returningRoute, id, j); a.Status != http.StatusOK {
+func runLongestLease(p *play) error {
+	const id = "ddaa7a21d94b36f8"
+	// The clock of the first process gets ahead of that of the next.
+	time.Sleep(15 * time.Second)
+	w := p.minions[0]
+	if p.trouble {
+		w.restartInSilence(500 * time.Millisecond)
+	}
+	j := &job{Spec: "longest-lease", Steps: []step{{Count: 1, Cpu: 1000, MemMb: 256, EstimateMs: 20000, RequiredLabel: "b"}}}
+	if a := p.submit(p.nodes[0], otherRoute, id, j); a.Status != http.StatusOK {
 		return errRefused
 	}
-	if !waitFor(3*time.Second, func() bool { return p.isRunning(item) }) {
+	if !waitFor(5*time.Second, func() bool { return p.runningItems(id) == 1 }) {
 		return errors.New("the job did not start")
 	}
-	if p.trouble {
-		if err := p.configure(9, []string{"huvo11a"}, otherRoute); err != nil {
-			return err
-		}
-	}
-	if !waitFor(8*time.Second, func() bool { return p.failures(id, item) > 0 }) {
-		return errors.New("the first run did not end")
-	}
 	time.Sleep(500 * time.Millisecond)
 	if p.trouble {
-		if err := p.configure(12, []string{"huvo11a"}, otherRoute, returningRoute); err != nil {
+		owner, err := p.ownerOf("huvo11a")
+		if err != nil {
 			return err
 		}
-	}
-	time.Sleep(configTime + time.Second)
-	for _, n := range p.nodes {
-		if a := p.state(n, returningRoute, id); a.State == "failed" && p.failures(id, item) < returningRoute.MaxAttempts {
-			p.record.breachf("LOST: %s shows the job as failed after %d of %d attempts", n.name, p.failures(id, item), returningRoute.MaxAttempts)
+		owner.kill()
+		p.record.logf("%s, the owner, is killed", owner.name)
+		w.cutOff(8 * time.Second)
+		if err := owner.start(); err != nil {
+			return err
 		}
 	}
+	time.Sleep(14 * time.Second)
 	return nil
 }
 
-// Case late-post: requesters leave before their time limit and cancel what they sent, while the store loses answers and
-// carries changes out late.
-
-const (
-	// cancelTime is cancel_ms, contactTime ContactMs of the settings.
-	cancelTime  = 3 * time.Second
-	contactTime = 3 * time.Second
-	// leaveAfter is when a requester leaves.
-	leaveAfter = 400 * time.Millisecond
-	latePosts  = 12
-)
-
-func prepareLatePost(p *play) error {
-	p.behave = worksFor(time.Second)
-	if err := p.addMinions("huvo11a", 6, kindA); err != nil {
-		return err
+// ownerOf returns the node that owns a service's jobs, which wrote to the store last under the epoch's condition.
+func (p *play) ownerOf(service string) (*node, error) {
+	value, err := p.store.Read(context.Background(), apjournal.OwnerKey(apjournal.Shard(service)))
+	if err != nil {
+		return nil, err
 	}
-	return p.configure(7, []string{"huvo11a"}, otherRoute)
-}
-
-func runLatePost(p *play) error {
-	p.losing.Store(p.trouble)
-	var requesters sync.WaitGroup
-	for i := range latePosts {
-		requesters.Go(func() {
-			id := fmt.Sprintf("%016x", 0x5c0e7a21d94b0000+i)
-			n := p.nodes[i%len(p.nodes)]
-			j := &job{Spec: "late-post", Steps: []step{{Count: 2, Cpu: 1000, MemMb: 256, EstimateMs: 1000}, {Count: 2, Cpu: 1000, MemMb: 256, EstimateMs: 1000, After: []int{0}}}}
-			p.submitWithin(leaveAfter, n, otherRoute, id, j)
-			p.cancelUntilAcknowledged(p.nodes[(i+1)%len(p.nodes)], otherRoute, id)
-		})
-		time.Sleep(100 * time.Millisecond)
+	var owner apjournal.Owner
+	if err := apfleet.Decode(value.Data, &owner); err != nil {
+		return nil, err
 	}
-	p.losing.Store(false)
-	p.mu.Lock()
-	p.calmSince = time.Now()
-	p.mu.Unlock()
-	p.record.logf("the store answers all changes")
-	requesters.Wait()
-	time.Sleep(9 * time.Second)
-	return nil
+	for _, n := range p.nodes {
+		if n.name == string(owner.Entry) {
+			return n, nil
+		}
+	}
+	return nil, errors.New("the service has no owner")
 }
--- a/review/standin/further.go
+++ b/review/standin/further.go
@@ -228,7 +228,7 @@
 	return nil
 }
 
-// minionOf returns a minion that runs a work item of a job.
+// minionOf returns a minion that runs a work item of a job, or nil.
 func (p *play) minionOf(id string) *minion {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -239,5 +239,107 @@
 			}
 		}
 	}
-	return p.minions[0]
+	return nil
+}
+
+// Case route-returns: the operator removes a queue by mistake and adds it again some seconds later. Meanwhile the first run
+// of a work item of an accepted job fails.
+
+var returningRoute = newRoute("r-anu6wsj", "/puxa400/", "huvo11a", 4)
+
+func prepareRouteReturns(p *play) error {
+	p.behave = func(_ *minion, key runKey) behaviour {
+		if key.run == 1 {
+			return behaviour{after: 4 * time.Second, how: "failed"}
+		}
+		return behaviour{after: 4 * time.Second, how: "done"}
+	}
+	if err := p.addMinions("huvo11a", 6, kindA); err != nil {
+		return err
+	}
+	return p.configure(7, []string{"huvo11a"}, otherRoute, returningRoute)
+}
+
+var otherRoute = newRoute("r-k9m68k7", "/wuhu344/", "huvo11a", 2)
+
+func runRouteReturns(p *play) error {
+	const id, item = "33cc7a21d94b36f8", "33cc7a21d94b36f8.0.0.0"
+	j := &job{Spec: "route-returns", Steps: []step{{Count: 1, Cpu: 1000, MemMb: 256, EstimateMs: 4000}}}
+	if a := p.submit(p.nodes[0], returningRoute, id, j); a.Status != http.StatusOK {
+		return errRefused
+	}
+	if !waitFor(3*time.Second, func() bool { return p.isRunning(item) }) {
+		return errors.New("the job did not start")
+	}
+	if p.trouble {
+		if err := p.configure(9, []string{"huvo11a"}, otherRoute); err != nil {
+			return err
+		}
+	}
+	if !waitFor(8*time.Second, func() bool { return p.failures(id, item) > 0 }) {
+		return errors.New("the first run did not end")
+	}
+	time.Sleep(500 * time.Millisecond)
+	if p.trouble {
+		if err := p.configure(12, []string{"huvo11a"}, otherRoute, returningRoute); err != nil {
+			return err
+		}
+	}
+	time.Sleep(configTime + time.Second)
+	for _, n := range p.nodes {
+		if a := p.state(n, returningRoute, id); a.State == "failed" && p.failures(id, item) < returningRoute.MaxAttempts {
+			p.record.breachf("LOST: %s shows the job as failed after %d of %d attempts", n.name, p.failures(id, item), returningRoute.MaxAttempts)
+		}
+	}
+	return nil
+}
+
+// Case late-start: a minion leaves a start unanswered. The system sends it again, and the work item is done. The minion crashes and starts
+// again under its id, and the first start is carried out as it comes back.
+
+func prepareLateStart(p *play) error {
+	p.behave = worksFor(1500 * time.Millisecond)
+	if err := p.addMinions("huvo11a", 8, kindA); err != nil {
+		return err
+	}
+	return p.configure(7, []string{"huvo11a"}, otherRoute)
+}
+
+func runLateStart(p *play) error {
+	const id, other, item = "ccff7a21d94b36f8", "ccff7a21d94b36f9", "ccff7a21d94b36f8.0.0.0"
+	if p.trouble {
+		p.mu.Lock()
+		p.heldItem = item
+		p.mu.Unlock()
+	}
+	// The orders for this job are carried out at once: one start of 26 is late.
+	o := &job{Spec: "other", Steps: []step{{Count: 24, Cpu: 1000, MemMb: 256, EstimateMs: 1500}}}
+	if a := p.submit(p.nodes[1], otherRoute, other, o); a.Status != http.StatusOK {
+		return errRefused
+	}
+	j := &job{Spec: "late-start", Steps: []step{{Count: 1, Cpu: 1000, MemMb: 256, EstimateMs: 1500}}}
+	if a := p.submit(p.nodes[0], otherRoute, id, j); a.Status != http.StatusOK {
+		return errRefused
+	}
+	var on *minion
+	if !waitFor(5*time.Second, func() bool {
+		on = p.minionOf(id)
+		return on != nil
+	}) {
+		return errors.New("the job did not start")
+	}
+	completed := false
+	for end := time.Now().Add(8 * time.Second); !completed && time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		completed = p.state(p.nodes[1], otherRoute, id).State == "completed"
+	}
+	if !completed {
+		return errors.New("the job was not completed")
+	}
+	if p.trouble {
+		if err := on.restart(2*time.Second, 0, "a"); err != nil {
+			return err
+		}
+	}
+	time.Sleep(4 * time.Second)
+	return nil
 }
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -75,6 +75,12 @@
 	highest map[string]int
 	changed chan struct{}
 	gone    bool
+	// heldStart is a start that was left unanswered. It is carried out as the minion comes back.
+	heldStart *orderBody
+	// cutUntil is when the system's processes can reach the minion again.
+	cutUntil time.Time
+	// process is the number of the minion's process. Channels to an earlier one are silent.
+	process int
 	// failing minions fail all that they start.
 	failing bool
 	seq     int
@@ -140,10 +146,9 @@
 }
 
 const (
-	// gangWait is GangMs, stopTime within StopMs and longestLease HoldMaxMs of the settings.
-	gangWait     = 3 * time.Second
-	stopTime     = 150 * time.Millisecond
-	longestLease = 6 * time.Second
+	// gangWait is GangMs, stopTime is within StopMs of the settings.
+	gangWait = 3 * time.Second
+	stopTime = 150 * time.Millisecond
 	// startupTime is the time after which a work item that lasts is at work.
 	startupTime = 500 * time.Millisecond
 )
@@ -191,10 +196,18 @@
 	if m.gone {
 		panic(http.ErrAbortHandler)
 	}
+	if conn, ok := r.Context().Value(processKey{}).(int); ok && conn != m.process || time.Now().Before(m.cutUntil) {
+		p.hang(r)
+	}
 	m.tick(time.Now())
 	key := runKey{body.Task, body.Run}
 	switch strings.TrimPrefix(r.URL.Path, "/auburnport/") {
 	case "run-start":
+		if p.heldItem == key.item {
+			p.heldItem, m.heldStart = "", &body
+			p.record.logf("start %s on %s is left unanswered", key, m.id)
+			p.hang(r)
+		}
 		status, reason := m.start(key, body)
 		p.record.logf("start %s on %s fence %d -> %d %s", key, m.id, body.FencingToken, status, reason)
 		m.reply(w, status, reason)
@@ -228,7 +241,7 @@
 }
 
 func (m *minion) extend(deadlineMs int64) {
-	end := min(time.Duration(deadlineMs)*time.Millisecond, m.clock()+longestLease)
+	end := min(time.Duration(deadlineMs)*time.Millisecond, m.clock()+m.platform.longestLease)
 	m.leaseEnd = max(m.leaseEnd, end)
 }
 
@@ -291,6 +304,9 @@
 		timer.Stop()
 		p.mu.Lock()
 	}
+	if conn, ok := r.Context().Value(processKey{}).(int); ok && conn != m.process || time.Now().Before(m.cutUntil) {
+		m.platform.hang(r)
+	}
 	if m.gone {
 		panic(http.ErrAbortHandler)
 	}
@@ -337,6 +353,12 @@
 		return err
 	}
 	p.record.logf("%s starts again with labels %v", next.id, next.labels)
+	if held := m.heldStart; held != nil {
+		p.mu.Lock()
+		status, reason := next.start(runKey{held.Task, held.Run}, *held)
+		p.record.logf("the start that was left unanswered, %s, is carried out on %s -> %d %s", runKey{held.Task, held.Run}, next.id, status, reason)
+		p.mu.Unlock()
+	}
 	p.group.Go(func() {
 		time.Sleep(registerAfter)
 		p.register(next)
@@ -344,6 +366,43 @@
 	return nil
 }
 
+// processKey is the key of the number of the process that accepted a call's channel.
+type processKey struct{}
+
+// hang leaves a call without an answer until its sender gives up. The mutex is held.
+func (p *platform) hang(r *http.Request) {
+	p.mu.Unlock()
+	<-r.Context().Done()
+	p.mu.Lock()
+	panic(http.ErrAbortHandler)
+}
+
+// restartInSilence crashes the minion and starts it again. Its open channels go silent, new ones reach the next process.
+func (m *minion) restartInSilence(downtime time.Duration) {
+	p := m.platform
+	p.mu.Lock()
+	for key := range m.running {
+		p.noteEnd(m, key, "crashed")
+	}
+	m.process++
+	m.running, m.ended, m.lastEnd, m.highest, m.fence, m.leaseEnd = make(map[runKey]*activeRun), nil, 0, make(map[string]int), 0, 0
+	p.mu.Unlock()
+	p.record.logf("%s crashes in silence", m.id)
+	time.Sleep(downtime)
+	p.mu.Lock()
+	m.born = time.Now()
+	p.mu.Unlock()
+	p.record.logf("%s starts again", m.id)
+}
+
+// cutOff cuts the minion off from the system's processes for a time. It runs on.
+func (m *minion) cutOff(d time.Duration) {
+	m.platform.mu.Lock()
+	defer m.platform.mu.Unlock()
+	m.cutUntil = time.Now().Add(d)
+	m.platform.record.logf("%s is cut off", m.id)
+}
+
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	data, err := json.Marshal(body)
 	if err != nil {
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -72,7 +72,7 @@
 Bounds.LossSlackMs=200
 Bounds.ConfigMs=2000
 Bounds.RollbackSlackMs=250
-Bounds.HoldMaxMs=6000
+Bounds.HoldMaxMs=%d
 Bounds.StopMs=400
 Bounds.GangMs=3000
 Bounds.cancel_ms=3000
@@ -99,7 +99,7 @@
 Cloud.Address=%s
 Cloud.RatePerS=64.0
 Cloud.DutyPerS=64.0
-`, n.name, ip, n.front, n.ready, firstInternal, lastInternal, advice, store, machines)
+`, n.name, ip, n.front, n.ready, firstInternal, lastInternal, p.longestLease.Milliseconds(), advice, store, machines)
 	n.settings, n.logPath = filepath.Join(dir, n.name+".conf"), filepath.Join(dir, n.name+".log")
 	return n, os.WriteFile(n.settings, []byte(text), 0o600)
 }
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -43,6 +43,10 @@
 	active  map[string]map[*minion]int
 	done    map[string]time.Time
 	servers []*http.Server
+	// heldItem is the work item whose next start is left unanswered.
+	heldItem string
+	// longestLease is HoldMaxMs of the settings.
+	longestLease time.Duration
 	// calmSince is when the last impairment ended.
 	calmSince time.Time
 	// losing is true while the store loses answers.
@@ -56,6 +60,7 @@
 	return &platform{
 		record: r, store: store, storeServer: apemulator.NewStore(store), jobs: make(map[string]*job), gangs: make(map[string]*gang),
 		active: make(map[string]map[*minion]int), done: make(map[string]time.Time), stopped: make(chan struct{}),
+		longestLease: 6 * time.Second,
 	}
 }
 
@@ -71,6 +76,13 @@
 		return "", nil, err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	if m, ok := handler.(*minion); ok {
+		server.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return context.WithValue(ctx, processKey{}, m.process)
+		}
+	}
 	p.servers = append(p.servers, server)
 	p.group.Go(func() { _ = server.Serve(listener) })
 	return listener.Addr().String(), server, nil
