--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -99,7 +99,7 @@
 	if p.advice, p.adviceServer, err = p.serve(&advisor{platform: p.platform, timing: advisedTiming}); err != nil {
 		return err
 	}
-	p.group.Go(p.platform.run)
+	p.group.Go(p.moveOn)
 	for i := range nodeCount {
 		n, err := newNode(p.platform, i, command, dir, machines, p.advice)
 		if err != nil {
