--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -27,13 +27,13 @@
 
 var cases = map[string]caseOf{
 	"route-moves":   {"TWICE", prepareRouteMoves, runRouteMoves},
-	"longest-lease": {"TWICE", prepareLongestLease, runLongestLease},
 	"late-post":     {"UNASKED", prepareLatePost, runLatePost},
 	"lasting-done":  {"LOST", prepareLastingDone, runLastingDone},
+	"route-returns": {"LOST", prepareRouteReturns, runRouteReturns},
 	"label-failed":  {"LOST", prepareLabelFailed, runLabelFailed},
 	// Plays that only the report tells of.
+	"longest-lease":  {"TWICE", prepareLongestLease, runLongestLease},
 	"late-start":     {"TWICE", prepareLateStart, runLateStart},
-	"route-returns":  {"LOST", prepareRouteReturns, runRouteReturns},
 	"fills-no-place": {"LOST", prepareFills, runFills},
 	"advice-full":    {"LOST", prepareAdvice, runAdvice},
 	"advice-moves":   {"LOST", prepareAdvice, runAdviceMoves},
@@ -332,7 +332,7 @@
 		}
 		owner.kill()
 		p.record.logf("%s, the owner, is killed", owner.name)
-		w.cutOff(8 * time.Second)
+		w.cutOff(p.cut)
 		if err := owner.start(); err != nil {
 			return err
 		}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,6 +27,8 @@
 	advice       string
 	adviceServer *http.Server
 	trouble      bool
+	// cut is how long longest-lease cuts its minion off.
+	cut time.Duration
 }
 
 // caseOf is a case: the rule that it checks, its minions and configuration, and what happens.
@@ -42,13 +44,14 @@
 	recordPath := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	logs := flag.String("logs", "", "folder that keeps the logs of the processes")
 	trouble := flag.Bool("trouble", true, "play the disruption")
+	cut := flag.Duration("cut", 5500*time.Millisecond, "how long longest-lease cuts its minion off")
 	flag.Parse()
 	// The processes end with the thread that started them.
 	runtime.LockOSThread()
-	os.Exit(run(*name, *command, *recordPath, *logs, *trouble))
+	os.Exit(run(*name, *command, *recordPath, *logs, *trouble, *cut))
 }
 
-func run(name, command, recordPath, logs string, trouble bool) int {
+func run(name, command, recordPath, logs string, trouble bool, cut time.Duration) int {
 	r, err := newRecord(recordPath)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -62,7 +65,7 @@
 		}
 		defer func() { _ = os.RemoveAll(dir) }()
 	}
-	p := &play{platform: newPlatform(r), trouble: trouble}
+	p := &play{platform: newPlatform(r), trouble: trouble, cut: cut}
 	err = p.play(name, command, dir)
 	for _, n := range p.nodes {
 		n.kill()
