apowner: a worker's clock that goes back ends the poll under way

Callers could see a task run again after it was done. A poll was under way as the worker restarted, and was carried out by the next process a moment later, before the owner's next poll. Tasks had already started there, under the same fence, and had ended. The poll's LastSeen counts ends of the earlier process: the next one forgot ends that it had listed to nobody, so their runs counted as lost.

The answers to these starts show that the clock has gone back, which raises the fence already. Now the owner gives up the poll under way at that moment and polls again at once under the raised fence, so that the worker refuses the earlier poll. What remains is a poll that is carried out after a task has ended and before the new one arrives, a round trip after the start.

--- a/internal/apowner/apowner.go
+++ b/internal/apowner/apowner.go
@@ -105,8 +105,8 @@
 	// maxInFlightOrders.
 	inFlightOrders int
 	ordersAtLimit  bool
-	// polled holds the workers that have a polling goroutine.
-	polled map[apjob.WorkerID]bool
+	// polled holds the workers that have a polling goroutine, and the function that gives up the poll under way.
+	polled map[apjob.WorkerID]context.CancelFunc
 	// pollDue is true when there may be workers without a polling goroutine.
 	pollDue bool
 	// queueTable is the queue settings that the scheduler uses.
@@ -160,7 +160,7 @@
 		config:    config,
 		scheduler: apscheduler.New(config.Journal.Fence(), options...),
 		events:    make(chan func(time.Time), eventQueueSize),
-		polled:    make(map[apjob.WorkerID]bool),
+		polled:    make(map[apjob.WorkerID]context.CancelFunc),
 		owned:     owned,
 
 		disruptions:       make(map[apfleet.Key]disruption),
--- a/internal/apowner/latepoll_test.go
+++ b/internal/apowner/latepoll_test.go
@@ -110,3 +110,63 @@
 		assert.NilError(t, group.Wait())
 	})
 }
+
+// slowPollClient delays the poll that is sent while armed. It is carried out by the process that is there then, and answered.
+type slowPollClient struct {
+	*fakePool
+	armed   *atomic.Bool
+	delayed chan struct{}
+	worker  apjob.WorkerID
+	delay   time.Duration
+}
+
+func (c slowPollClient) Poll(ctx context.Context, to apworker.Target, order apworker.PollOrder) (apworker.Report, error) {
+	if to.ID != c.worker || !c.armed.CompareAndSwap(true, false) {
+		return c.fakePool.Poll(ctx, to, order)
+	}
+	close(c.delayed)
+	order.Wait = 0
+	var report apworker.Report
+	var err error
+	carriedOut := make(chan struct{})
+	time.AfterFunc(c.delay, func() {
+		report, err = c.fakePool.Poll(context.WithoutCancel(ctx), to, order)
+		close(carriedOut)
+	})
+	select {
+	case <-carriedOut:
+		return report, err
+	case <-ctx.Done():
+		return report, apcode.Errorf(apcode.WorkerSilent, "given up")
+	}
+}
+
+// Tasks run on the next process and end while a poll to the process before is under way.
+func TestTasksRunOnceWhenNextProcessAnswersPollUnderWay(t *testing.T) {
+	for _, delay := range []time.Duration{400 * time.Millisecond, 800 * time.Millisecond, 1200 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := memory.TransactionalStore{Store: memory.New()}
+				pool := newFakePool(t, 1, 1)
+				pool.taskDuration = 200 * time.Millisecond
+				pool.register(t, store)
+				time.Sleep(time.Minute)
+				first := submit(t, store, 1)
+				group := &errgroup.Group{}
+				ctx, cancel := context.WithCancel(t.Context())
+				client := slowPollClient{fakePool: pool, armed: &atomic.Bool{}, delayed: make(chan struct{}), worker: "i-0", delay: delay}
+				group.Go(func() error { return runOwner(ctx, t, store, client, "owner") })
+				waitUntilDone(t, store, first)
+				time.Sleep(2 * time.Second)
+				client.armed.Store(true)
+				<-client.delayed
+				pool.restart("i-0")
+				time.Sleep(50 * time.Millisecond)
+				second := submit(t, store, 2)
+				waitUntilDone(t, store, second)
+				cancel()
+				assert.NilError(t, group.Wait())
+			})
+		})
+	}
+}
--- a/internal/apowner/workers.go
+++ b/internal/apowner/workers.go
@@ -105,10 +105,10 @@
 // none.
 func (o *Owner) pollWorkers(ctx context.Context) {
 	for _, target := range o.scheduler.WorkersToPoll() {
-		if o.polled[target.ID] {
+		if o.polled[target.ID] != nil {
 			continue
 		}
-		o.polled[target.ID] = true
+		o.polled[target.ID] = func() {}
 		o.calls.Go(func() error {
 			o.pollWorker(ctx, target.ID)
 			return nil
@@ -123,13 +123,16 @@
 	wanted bool
 	// polledWorkers is the number of workers with a polling goroutine.
 	polledWorkers int
+	// ctx ends when the poll is given up. cancel must be called after it.
+	ctx    context.Context //nolint:containedctx // made by the loop for one call of the polling goroutine.
+	cancel context.CancelFunc
 }
 
 // pollWorker polls one worker until the scheduler no longer wants its reports.
 func (o *Owner) pollWorker(ctx context.Context, id apjob.WorkerID) {
 	requests := make(chan pollRequest, 1)
 	for {
-		if !o.post(ctx, func(now time.Time) { requests <- o.nextPoll(id, now) }) {
+		if !o.post(ctx, func(now time.Time) { requests <- o.nextPoll(ctx, id, now) }) {
 			return
 		}
 		var next pollRequest
@@ -142,12 +145,16 @@
 			return
 		}
 		sentAt := time.Now()
-		report, err := o.config.Workers.Poll(ctx, next.target, next.order)
+		report, err := o.config.Workers.Poll(next.ctx, next.target, next.order)
+		givenUp := next.ctx.Err() != nil
+		next.cancel()
 		if ctx.Err() != nil {
 			return
 		}
 		o.post(ctx, func(now time.Time) { o.handleReport(id, next.order.Fence, report, err, sentAt, now) })
-		apstore.Sleep(ctx, pollDelay(report, err, next.polledWorkers))
+		if !givenUp {
+			apstore.Sleep(ctx, pollDelay(report, err, next.polledWorkers))
+		}
 	}
 }
 
@@ -164,7 +171,7 @@
 	}
 }
 
-func (o *Owner) nextPoll(id apjob.WorkerID, now time.Time) pollRequest {
+func (o *Owner) nextPoll(ctx context.Context, id apjob.WorkerID, now time.Time) pollRequest {
 	target, ok := o.scheduler.PollTarget(id)
 	if !ok {
 		delete(o.polled, id)
@@ -180,7 +187,10 @@
 	default:
 		order.Wait = idlePollTimeout
 	}
-	return pollRequest{target: target, order: order, wanted: true, polledWorkers: len(o.polled)}
+	request := pollRequest{target: target, order: order, wanted: true, polledWorkers: len(o.polled)}
+	request.ctx, request.cancel = context.WithCancel(ctx)
+	o.polled[id] = request.cancel
+	return request
 }
 
 func (o *Owner) handleReport(id apjob.WorkerID, fence uint64, report apworker.Report, err error, sentAt, now time.Time) {
@@ -201,6 +211,14 @@
 	}
 }
 
+// giveUpPoll ends the poll of a worker that may have restarted. The next poll has a higher fence, so that the present process
+// refuses the earlier one, which would acknowledge its ends.
+func (o *Owner) giveUpPoll(id apjob.WorkerID) {
+	if cancel := o.polled[id]; cancel != nil {
+		cancel()
+	}
+}
+
 // checkFence ends the owner if a worker refused a call because of another owner's fence. A call that was overtaken by one
 // under a raised fence of this owner is no sign of that.
 func (o *Owner) checkFence(id apjob.WorkerID, fence uint64, err error) {
@@ -263,8 +281,8 @@
 	if apcode.Is(result.err, apcode.StaleFence) {
 		o.checkFence(result.worker, result.fence, result.err)
 	}
-	if result.clock > 0 {
-		o.scheduler.ObserveClock(result.worker, result.clock, now)
+	if result.clock > 0 && o.scheduler.ObserveClock(result.worker, result.clock, now) {
+		o.giveUpPoll(result.worker)
 	}
 	o.scheduler.OrderAnswered(result.worker, result.run, result.stop, result.err, now)
 }
--- a/pkg/apscheduler/restart.go
+++ b/pkg/apscheduler/restart.go
@@ -45,16 +45,17 @@
 // clockTolerance is how much an answer may lag behind the reading of a worker's clock in a report that overtook it.
 const clockTolerance = time.Second
 
-// ObserveClock records a reading of a worker's clock in the answer to an order. If the clock has gone back, another process
-// may have answered, which took the order's deadline for its longest lease.
-func (s *Shard) ObserveClock(id apjob.WorkerID, clock time.Duration, now time.Time) {
+// ObserveClock records a reading of a worker's clock in the answer to an order. It reports whether the clock has gone back.
+// Another process may have answered then, which took the order's deadline for its longest lease.
+func (s *Shard) ObserveClock(id apjob.WorkerID, clock time.Duration, now time.Time) bool {
 	w, ok := s.workers[id]
 	if !ok || !w.hasReported || clock+clockTolerance >= w.clock {
-		return
+		return false
 	}
 	longest := s.options.LongestLease + s.options.StopTime
 	w.unnoticedLeaseEnd = now.Add(longest + time.Duration(float64(longest)*s.options.ClockDrift))
 	s.PollFailed(id)
+	return true
 }
 
 // Fence returns the fencing token of orders to a worker.
