Jobs: one ID is one job, wherever its queue belongs now

Cause: entries looked for a job only in the shard of the service that the newest settings name.

The change: a location is stored in the same transaction as the job, under the job's ID alone, if there is none. It names the shard, and the queue, the host and the prefix that accepted the job. Whatever settings an entry knows, a second submission conflicts with it. Status and Cancel read the location only if the job isn't in the shard of the queue's present service, and look again where it points, which also finds a job that was retired between the two reads. A job of a removed queue is found by its location; counts and new jobs of the queue are still refused. The owner removes the location with the progress of an expired job, so a batch has two entries less; the test of the size of a batch counts these two more.

Jobs stored by earlier builds have no location and are found as before.

--- a/internal/apintake/apintake.go
+++ b/internal/apintake/apintake.go
@@ -3,13 +3,11 @@
 package apintake
 
 import (
-	"context"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"auburnport/pkg/apcode"
-	"auburnport/pkg/apfleet"
 	"auburnport/pkg/apjob"
 	"auburnport/pkg/apjournal"
 	"auburnport/pkg/apqueue"
@@ -45,8 +43,10 @@
 	confirmedAt atomic.Pointer[time.Time]
 	leaving     atomic.Bool
 
-	mu           sync.Mutex
-	cachedCounts map[apjournal.Shard]cachedCount
+	mu sync.Mutex
+	// waiting holds the number of waiting jobs by queue, as read at waitingReadAt.
+	waiting       map[apjob.Queue]int
+	waitingReadAt time.Time
 	// unavailableSince is when the store stopped answering, or zero while it answers. recovered is closed
 	// when it answers again. waitingSubmissions counts the submissions that wait for that.
 	unavailableSince   time.Time
@@ -54,14 +54,9 @@
 	waitingSubmissions int
 }
 
-type cachedCount struct {
-	readAt time.Time
-	counts apjournal.WaitingCounts
-}
-
 // New returns an intake that refuses callers until settings are applied and confirmed.
 func New(store apstore.TransactionalStore, options Options, log Log) *Intake {
-	return &Intake{store: store, options: options, log: log, cachedCounts: make(map[apjournal.Shard]cachedCount)}
+	return &Intake{store: store, options: options, log: log}
 }
 
 // ApplySettings replaces the settings unless the current ones are at least as new, and reports whether it did.
@@ -128,127 +123,3 @@
 func (i *Intake) LogRefusal(id apjob.ID, err error, retryAfter time.Duration) {
 	i.log("Refused", id, err, map[string]any{"RetryAfter": retryAfter})
 }
-
-// Submit stores a job. It is idempotent: it also succeeds when the job is already stored or has ended.
-// Errors: StoreUnavailable (not stored), JobUnsettled (may be stored).
-func (i *Intake) Submit(ctx context.Context, queue apqueue.Queue, job *apjob.Job) error {
-	err := i.submit(ctx, shardOf(queue), job)
-	i.log("Submit", job.ID, err, map[string]any{"Queue": queue.Name})
-	return err
-}
-
-func (i *Intake) submit(ctx context.Context, shard apjournal.Shard, job *apjob.Job) error {
-	key := apjournal.JobKey(shard, job.ID)
-	transaction := apstore.Transaction{
-		Conditions: []apstore.Condition{{Key: key}, {Key: apjournal.ProgressKey(shard, job.ID)}},
-		Puts:       []apstore.Put{{Key: key, Data: apfleet.Encode(job)}},
-	}
-	maybeStored := false
-	for {
-		_, err := i.store.Commit(ctx, transaction)
-		switch apcode.Of(err) {
-		case apcode.OK, apcode.StoreConflict:
-			return nil
-		case apcode.StoreUnknown:
-			maybeStored = true
-		default:
-			if !maybeStored {
-				return err
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return apcode.Errorf(apcode.JobUnsettled, "job %s: the store has not confirmed the write", job.ID)
-		case <-time.After(i.options.RetryDelay):
-		}
-	}
-}
-
-// Status returns a job's state. Errors: NoSuchJob, StoreUnavailable, BadMessage.
-func (i *Intake) Status(ctx context.Context, queue apqueue.Queue, id apjob.ID) (apjob.State, error) {
-	value, err := i.store.Read(ctx, apjournal.ProgressKey(shardOf(queue), id))
-	if err != nil {
-		i.log("Status", id, err, nil)
-		return 0, err
-	}
-	if value.Revision == 0 {
-		value, err = i.store.Read(ctx, apjournal.JobKey(shardOf(queue), id))
-		if err == nil && value.Revision == 0 {
-			err = apcode.Errorf(apcode.NoSuchJob, "job %s is not stored", id)
-		}
-		i.log("Status", id, err, nil)
-		return apjob.Pending, err
-	}
-	var progress apjob.Progress
-	if err := apfleet.Decode(value.Data, &progress); err != nil {
-		return 0, err
-	}
-	return progress.State, nil
-}
-
-// Cancel asks the shard's owner to cancel a job. It also succeeds when the job has ended. Errors: NoSuchJob,
-// StoreUnavailable, StoreUnknown, StoreConflict (ctx ended between retries).
-func (i *Intake) Cancel(ctx context.Context, queue apqueue.Queue, id apjob.ID) error {
-	err := i.cancel(ctx, shardOf(queue), id)
-	i.log("Cancel", id, err, nil)
-	return err
-}
-
-func (i *Intake) cancel(ctx context.Context, shard apjournal.Shard, id apjob.ID) error {
-	for {
-		value, err := i.store.Read(ctx, apjournal.JobKey(shard, id))
-		if err != nil {
-			return err
-		}
-		if value.Revision == 0 {
-			return i.checkEnded(ctx, shard, id)
-		}
-		_, err = i.store.Commit(ctx, apstore.Transaction{
-			Conditions: []apstore.Condition{{Key: value.Key, Revision: value.Revision}},
-			Puts:       []apstore.Put{{Key: apjournal.CancelKey(shard, id), Data: cancelValue}},
-		})
-		// Retry after a lost answer, or when the job was retired since it was read.
-		if !apcode.Is(err, apcode.StoreUnknown) && !apcode.Is(err, apcode.StoreConflict) || ctx.Err() != nil {
-			return err
-		}
-	}
-}
-
-// checkEnded returns nil for a job that has ended, and NoSuchJob for one that was never stored.
-func (i *Intake) checkEnded(ctx context.Context, shard apjournal.Shard, id apjob.ID) error {
-	value, err := i.store.Read(ctx, apjournal.ProgressKey(shard, id))
-	if err == nil && value.Revision == 0 {
-		return apcode.Errorf(apcode.NoSuchJob, "job %s is not stored", id)
-	}
-	return err
-}
-
-// WaitingJobs counts the queue's jobs with no started task, without scheduled jobs, as last stored by the shard's
-// owner.
-func (i *Intake) WaitingJobs(ctx context.Context, queue apqueue.Queue) (int, error) {
-	shard := shardOf(queue)
-	i.mu.Lock()
-	cached := i.cachedCounts[shard]
-	i.mu.Unlock()
-	if time.Since(cached.readAt) < i.options.WaitingCacheTTL {
-		return cached.counts.Queues[queue.Name], nil
-	}
-	startedAt := time.Now()
-	value, err := i.store.Read(ctx, apjournal.WaitingKey(shard))
-	if err != nil {
-		return 0, err
-	}
-	var counts apjournal.WaitingCounts
-	if value.Revision != 0 {
-		if err := apfleet.Decode(value.Data, &counts); err != nil {
-			return 0, err
-		}
-	}
-	i.mu.Lock()
-	i.cachedCounts[shard] = cachedCount{readAt: startedAt, counts: counts}
-	i.mu.Unlock()
-	return counts.Queues[queue.Name], nil
-}
-
-// cancelValue is a placeholder: the key alone identifies the cancel request.
-var cancelValue = []byte{1}
--- /dev/null
+++ b/internal/apintake/jobs.go
@@ -0,0 +1,126 @@
+package apintake
+
+import (
+	"context"
+	"time"
+
+	"auburnport/pkg/apcode"
+	"auburnport/pkg/apfleet"
+	"auburnport/pkg/apjob"
+	"auburnport/pkg/apjournal"
+	"auburnport/pkg/apqueue"
+	"auburnport/pkg/apstore"
+)
+
+// Submit stores a job. It is idempotent: it also succeeds when the job is already stored or has ended, in the shard of
+// whatever service. Errors: StoreUnavailable (not stored), JobUnsettled (may be stored).
+func (i *Intake) Submit(ctx context.Context, queue apqueue.Queue, job *apjob.Job) error {
+	err := i.submit(ctx, queue, job)
+	i.log("Submit", job.ID, err, map[string]any{"Queue": queue.Name})
+	return err
+}
+
+func (i *Intake) submit(ctx context.Context, queue apqueue.Queue, job *apjob.Job) error {
+	shard := shardOf(queue)
+	key, locationKey := apjournal.JobKey(shard, job.ID), apjournal.LocationKey(job.ID)
+	location := apjournal.Location{Shard: shard, Queue: queue.Name, Host: queue.Host, Prefix: queue.Prefix}
+	transaction := apstore.Transaction{
+		Conditions: []apstore.Condition{{Key: locationKey}, {Key: key}, {Key: apjournal.ProgressKey(shard, job.ID)}},
+		Puts:       []apstore.Put{{Key: key, Data: apfleet.Encode(job)}, {Key: locationKey, Data: apfleet.Encode(location)}},
+	}
+	maybeStored := false
+	for {
+		_, err := i.store.Commit(ctx, transaction)
+		switch apcode.Of(err) {
+		case apcode.OK, apcode.StoreConflict:
+			return nil
+		case apcode.StoreUnknown:
+			maybeStored = true
+		default:
+			if !maybeStored {
+				return err
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return apcode.Errorf(apcode.JobUnsettled, "job %s: the store has not confirmed the write", job.ID)
+		case <-time.After(i.options.RetryDelay):
+		}
+	}
+}
+
+// Status returns a job's state. Errors: NoSuchJob, StoreUnavailable, BadMessage.
+func (i *Intake) Status(ctx context.Context, queue apqueue.Queue, id apjob.ID) (apjob.State, error) {
+	var state apjob.State
+	err := i.inShardOf(ctx, queue, id, func(shard apjournal.Shard) (err error) {
+		state, err = i.statusIn(ctx, shard, id)
+		return err
+	})
+	if err != nil || state == apjob.Pending {
+		i.log("Status", id, err, nil)
+	}
+	return state, err
+}
+
+func (i *Intake) statusIn(ctx context.Context, shard apjournal.Shard, id apjob.ID) (apjob.State, error) {
+	value, err := i.store.Read(ctx, apjournal.ProgressKey(shard, id))
+	if err != nil {
+		return 0, err
+	}
+	if value.Revision == 0 {
+		value, err = i.store.Read(ctx, apjournal.JobKey(shard, id))
+		if err == nil && value.Revision == 0 {
+			err = errNoSuchJob(id)
+		}
+		return apjob.Pending, err
+	}
+	var progress apjob.Progress
+	if err := apfleet.Decode(value.Data, &progress); err != nil {
+		return 0, err
+	}
+	return progress.State, nil
+}
+
+// Cancel asks the shard's owner to cancel a job. It also succeeds when the job has ended. Errors: NoSuchJob,
+// StoreUnavailable, StoreUnknown, StoreConflict (ctx ended between retries).
+func (i *Intake) Cancel(ctx context.Context, queue apqueue.Queue, id apjob.ID) error {
+	err := i.inShardOf(ctx, queue, id, func(shard apjournal.Shard) error { return i.cancelIn(ctx, shard, id) })
+	i.log("Cancel", id, err, nil)
+	return err
+}
+
+func (i *Intake) cancelIn(ctx context.Context, shard apjournal.Shard, id apjob.ID) error {
+	for {
+		value, err := i.store.Read(ctx, apjournal.JobKey(shard, id))
+		if err != nil {
+			return err
+		}
+		if value.Revision == 0 {
+			return i.checkEnded(ctx, shard, id)
+		}
+		_, err = i.store.Commit(ctx, apstore.Transaction{
+			Conditions: []apstore.Condition{{Key: value.Key, Revision: value.Revision}},
+			Puts:       []apstore.Put{{Key: apjournal.CancelKey(shard, id), Data: cancelValue}},
+		})
+		// Retry after a lost answer, or when the job was retired since it was read.
+		if !apcode.Is(err, apcode.StoreUnknown) && !apcode.Is(err, apcode.StoreConflict) || ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
+// checkEnded returns nil for a job that has ended, and NoSuchJob for one that was never stored in the shard.
+func (i *Intake) checkEnded(ctx context.Context, shard apjournal.Shard, id apjob.ID) error {
+	value, err := i.store.Read(ctx, apjournal.ProgressKey(shard, id))
+	if err == nil && value.Revision == 0 {
+		return errNoSuchJob(id)
+	}
+	return err
+}
+
+func errNoSuchJob(id apjob.ID) error {
+	return apcode.Errorf(apcode.NoSuchJob, "job %s is not stored", id)
+}
+
+// cancelValue is a placeholder: the key alone identifies the cancel request.
+var cancelValue = []byte{1}
--- /dev/null
+++ b/internal/apintake/location.go
@@ -0,0 +1,65 @@
+package apintake
+
+import (
+	"context"
+	"path"
+
+	"auburnport/pkg/apcode"
+	"auburnport/pkg/apfleet"
+	"auburnport/pkg/apjob"
+	"auburnport/pkg/apjournal"
+	"auburnport/pkg/apqueue"
+)
+
+// maxLookups is the number of times that a job is looked for: in the shard of its queue's present service, where its
+// location says, and there once more, as the job may have been retired between the reads of its two records.
+const maxLookups = 3
+
+// inShardOf calls act with the shard of the queue's present service. If the job isn't there, it calls act with the one that the
+// job's location names. Errors: those of act and of the store.
+func (i *Intake) inShardOf(ctx context.Context, queue apqueue.Queue, id apjob.ID, act func(apjournal.Shard) error) error {
+	shard := shardOf(queue)
+	for attempt := 1; ; attempt++ {
+		err := act(shard)
+		if !apcode.Is(err, apcode.NoSuchJob) || attempt == maxLookups {
+			return err
+		}
+		location, found, readErr := i.location(ctx, id)
+		switch {
+		case readErr != nil:
+			return readErr
+		case !found:
+			return err
+		}
+		shard = location.Shard
+	}
+}
+
+// location returns where a job is. Errors: StoreUnavailable, BadMessage.
+func (i *Intake) location(ctx context.Context, id apjob.ID) (location apjournal.Location, found bool, err error) {
+	value, err := i.store.Read(ctx, apjournal.LocationKey(id))
+	if err != nil || value.Revision == 0 {
+		return location, false, err
+	}
+	return location, true, apfleet.Decode(value.Data, &location)
+}
+
+// FindAccepted returns the job that a request names whose host and path no present queue has, and the queue as it was when it
+// accepted the job. Errors: NoSuchQueue, StoreUnavailable, BadMessage.
+func (i *Intake) FindAccepted(ctx context.Context, host, requestPath string) (apqueue.Queue, apjob.ID, error) {
+	id := apjob.ID(path.Base(requestPath))
+	unknown := apcode.Errorf(apcode.NoSuchQueue, "%s%s", host, requestPath)
+	if apjob.CheckID(id) != nil {
+		return apqueue.Queue{}, "", unknown
+	}
+	location, found, err := i.location(ctx, id)
+	if err != nil {
+		return apqueue.Queue{}, "", err
+	}
+	queue := apqueue.Queue{Name: location.Queue, Service: apfleet.ServiceName(location.Shard), Host: location.Host, Prefix: location.Prefix}
+	accepted := apqueue.Table{Queues: []apqueue.Queue{queue}}
+	if _, rest, ok := accepted.Find(host, requestPath); !found || !ok || rest != string(id) {
+		return apqueue.Queue{}, "", unknown
+	}
+	return queue, id, nil
+}
--- a/internal/apowner/store.go
+++ b/internal/apowner/store.go
@@ -124,7 +124,7 @@
 	return write
 }
 
-// maxPurgedPerWrite bounds the expired records that are removed in one write with a batch.
+// maxPurgedPerWrite bounds the expired jobs whose two records are removed in one write with a batch.
 const maxPurgedPerWrite = 2
 
 // purgeScanInterval is how often retired jobs are scanned for expired ones.
@@ -146,7 +146,7 @@
 	for _, id := range purged {
 		if o.scheduler.RemoveJob(id) {
 			delete(o.retiredAt, id)
-			keys = append(keys, apjournal.ProgressKey(o.config.Shard, id))
+			keys = append(keys, apjournal.ProgressKey(o.config.Shard, id), apjournal.LocationKey(id))
 		}
 	}
 	o.expired = o.expired[len(purged):]
--- a/pkg/apjournal/keys.go
+++ b/pkg/apjournal/keys.go
@@ -63,8 +63,14 @@
 	return progressPrefix(shard) + apfleet.Key(id)
 }
 
+// LocationKey returns the key of a job's location, which doesn't depend on any settings.
+func LocationKey(id apjob.ID) apfleet.Key { return prefix + "location/" + apfleet.Key(id) }
+
+// PrefixWaiting holds the counts of waiting jobs of each shard.
+const PrefixWaiting apfleet.Key = prefix + "waiting/"
+
 // WaitingKey returns the key of the shard's counts of waiting jobs.
-func WaitingKey(shard Shard) apfleet.Key { return prefix + "waiting/" + apfleet.Key(shard) }
+func WaitingKey(shard Shard) apfleet.Key { return PrefixWaiting + apfleet.Key(shard) }
 
 // Prefixes of the records that the machine controller and the owners of pools exchange.
 const (
--- a/pkg/apjournal/records.go
+++ b/pkg/apjournal/records.go
@@ -72,3 +72,22 @@
 
 // Check accepts every count.
 func (w WaitingCounts) Check() error { return nil }
+
+// Location says in which shard a job is, whichever service its queue has now. It is stored and removed together with the
+// job's other records, so that an ID stands for one job. Jobs of entries older than the record have none.
+type Location struct {
+	// Shard holds the job's other records.
+	Shard Shard `cbor:"Shard"`
+	// Queue, Host and Prefix are those of the queue when it accepted the job.
+	Queue  apjob.Queue `cbor:"Queue"`
+	Host   string      `cbor:"Host,omitempty"`
+	Prefix string      `cbor:"Prefix,omitempty"`
+}
+
+// Check returns BadMessage for a location without a shard.
+func (l Location) Check() error {
+	if l.Shard == "" {
+		return apcode.Errorf(apcode.BadMessage, "location without a shard")
+	}
+	return nil
+}
--- a/pkg/apscheduler/batch_test.go
+++ b/pkg/apscheduler/batch_test.go
@@ -12,7 +12,7 @@
 )
 
 // A batch must fit in one transaction together with the six entries added by the owner (precondition, epoch,
-// waiting counts, pool load and two deletions), even when every job in it is retired.
+// waiting counts, pool load and the deletion of two expired jobs), even when every job in it is retired.
 func TestBatchesFitOneTransaction(t *testing.T) {
 	s := apscheduler.New(1)
 	for n := range 100 {
@@ -23,7 +23,7 @@
 	jobs := 0
 	for s.HasBatch() {
 		batch := s.NextBatch()
-		entries := 6
+		entries := 8
 		for _, r := range batch.Records {
 			entries += r.Entries()
 			assert.Assert(t, r.Retired)
--- a/pkg/apscheduler/options.go
+++ b/pkg/apscheduler/options.go
@@ -41,9 +41,10 @@
 // Option modifies the options of a new Shard.
 type Option func(*Options)
 
-// maxBatchEntries leaves room in the transaction for six more entries: the precondition, the epoch, the counts
-// of waiting jobs, the pool's report and the removal of two expired progress records (maxPurgedPerWrite of apowner).
-const maxBatchEntries = apstore.MaxTransactionOperations - 6
+// maxBatchEntries leaves room in the transaction for eight more entries: the precondition, the epoch, the counts
+// of waiting jobs, the pool's report and the removal of the progress and the location of two expired jobs
+// (maxPurgedPerWrite of apowner).
+const maxBatchEntries = apstore.MaxTransactionOperations - 8
 
 func defaultOptions() Options {
 	return Options{
