Scheduler: restart a long-running task whose run ends done

Cause: the scheduler took the successful end of a run for that of the task, whatever the step, and stored it as Done, which is never reset.

The change: the end of a run no longer makes a long-running task done. The run number stays, so the restart gets the next one, and a repeated end finds another number or a task without a worker and changes nothing. The end is acknowledged only once all changes of the job are stored, as before; its record is no longer put off, since the restart depends on it. One end of a gang ends the runs of all its members, which restart together. Progress that an earlier build stored as done is taken for not done, and the next run has a higher number; a job that an earlier build completed stays completed, as a final state never changes. How long such a run took is no longer an estimate for other tasks of the queue.

--- a/pkg/apjob/progress.go
+++ b/pkg/apjob/progress.go
@@ -46,7 +46,7 @@
 // Task is the stored progress of a task: what a new owner of the shard needs to continue.
 type Task struct {
 	_ struct{} `cbor:",toarray"`
-	// Done means that a run of the task succeeded; it is never reset.
+	// Done means that a run of the task succeeded; it is never reset. A long-running task is never done.
 	Done bool
 	// Run is the number of the latest run that may have been started.
 	Run int
--- a/pkg/apscheduler/batch.go
+++ b/pkg/apscheduler/batch.go
@@ -32,9 +32,9 @@
 }
 
 // queueEndRecord schedules the end of a run to be stored: after a delay if the run succeeded and its step has
-// tasks left, otherwise in the next batch.
+// tasks left, otherwise in the next batch. A long-running task waits for its restart.
 func (s *Shard) queueEndRecord(j *job, id apjob.TaskID, reason apworker.EndReason, now time.Time) {
-	if reason == apworker.EndDone && !j.occurrence(id.Occurrence).StepDone(id.Step) {
+	if reason == apworker.EndDone && !j.def.Steps[id.Step].LongRunning && !j.occurrence(id.Occurrence).StepDone(id.Step) {
 		s.deferRecord(j, now)
 		return
 	}
--- a/pkg/apscheduler/job.go
+++ b/pkg/apscheduler/job.go
@@ -140,6 +140,10 @@
 		for n := range occurrence.Steps {
 			for k := range occurrence.Steps[n] {
 				j.startConfirmed = j.startConfirmed || occurrence.Steps[n][k].HasEndedRun()
+				if def.Steps[n].LongRunning {
+					// An earlier build took the successful end of a run for that of the task.
+					occurrence.Steps[n][k].Done = false
+				}
 				s.restoreRun(j, apjob.TaskID{Job: def.ID, Occurrence: occurrence.Number, Step: n, Index: k}, &occurrence.Steps[n][k], now)
 			}
 		}
@@ -269,7 +273,7 @@
 	if t == nil || t.Done || t.Run != run.Run || t.Worker != workerID && t.Worker != "" {
 		return false
 	}
-	if t.Worker == "" && reason != apworker.EndDone {
+	if t.Worker == "" && (reason != apworker.EndDone || step.LongRunning) {
 		return false
 	}
 	j := s.jobs[run.Task.Job]
@@ -277,9 +281,19 @@
 	if checkpoint != "" {
 		t.Checkpoint = checkpoint
 	}
-	switch reason {
+	s.countEnd(j, t, run, workerID, reason)
+	j.recountTasks()
+	s.queueEndRecord(j, run.Task, reason, now)
+	s.finishIfOver(j, run.Task, reason, now)
+	return true
+}
+
+// countEnd counts a successful or failed run. The next run of a long-running task has another number, so that one that
+// succeeded is never started again.
+func (s *Shard) countEnd(j *job, t *apjob.Task, run apjob.RunKey, workerID apjob.WorkerID, reason apworker.EndReason) {
+	switch step := &j.def.Steps[run.Task.Step]; reason {
 	case apworker.EndDone:
-		t.Done = true
+		t.Done = !step.LongRunning
 		if step.Gang {
 			s.markGangDone(j, run)
 		}
@@ -290,19 +304,17 @@
 		}
 		j.failedOn[run.Task] = append(j.failedOn[run.Task], workerID)
 	default:
+		return
 	}
-	j.startConfirmed = j.startConfirmed || t.HasEndedRun()
-	j.recountTasks()
-	s.queueEndRecord(j, run.Task, reason, now)
-	s.finishIfOver(j, run.Task, reason, now)
-	return true
+	j.startConfirmed = true
 }
 
-// markGangDone marks all tasks of a gang as done, because the successful end of one counts for all.
+// markGangDone marks the runs of all tasks of a gang as ended, because the successful end of one counts for all. The tasks
+// are done then, unless they are long-running.
 func (s *Shard) markGangDone(j *job, run apjob.RunKey) {
 	tasks := j.occurrence(run.Task.Occurrence).Steps[run.Task.Step]
 	for k := range tasks {
-		tasks[k].Done = true
+		tasks[k].Done = !j.def.Steps[run.Task.Step].LongRunning
 		tasks[k].Worker = ""
 	}
 }
--- a/pkg/apscheduler/learn.go
+++ b/pkg/apscheduler/learn.go
@@ -74,10 +74,10 @@
 }
 
 // learnDuration updates the estimates with the duration of a successful run. Runs that have a checkpoint or an
-// unknown start time are left out.
+// unknown start time, or whose task is long-running, are left out.
 func (s *Shard) learnDuration(w *worker, id apjob.TaskID, took time.Duration, o *occupant) {
 	j := s.jobs[id.Job]
-	if j == nil || o.startedAt.IsZero() || o.checkpoint != "" {
+	if j == nil || o.startedAt.IsZero() || o.checkpoint != "" || j.def.Steps[id.Step].LongRunning {
 		return
 	}
 	estimate := s.estimate(j.def, &j.def.Steps[id.Step])
