apscheduler: a raise of the fence that is due outlives the worker's registration

After a failed poll the fence of calls to the worker is raised with the owner's next write. If the worker was forgotten before that write, as writes went unanswered for longer than its lease, the raise was forgotten too, and so was that for a poll which failed after the worker was forgotten. The process that registered next was ordered under the old fence, and a late poll of before could acknowledge its ends.

Evidence: both cases of TestFenceRaiseThatIsDueOutlivesRegistration failed before: "orders[0].(apscheduler.Start).Order.Fence is <= earlier".

The shard keeps the raises that are due by worker ID, beside the fences that were raised. They go with the next write.

--- a/pkg/apscheduler/apscheduler.go
+++ b/pkg/apscheduler/apscheduler.go
@@ -94,6 +94,9 @@
 	// raisedFences holds the fencing tokens of orders to workers that may have restarted. An order to an earlier process
 	// has a lower one, so that the present process refuses it.
 	raisedFences map[apjob.WorkerID]uint64
+	// fenceRaisesDue holds the workers that have or may have restarted and orders to whose earlier process may have had the
+	// newest fence. Until there is a newer one, they get no starts. A worker that is forgotten stays here, as its calls may be late.
+	fenceRaisesDue map[apjob.WorkerID]bool
 	// firstPlanAt is the time of the first call of Plan.
 	firstPlanAt time.Time
 	jobs        map[apjob.ID]*job
@@ -145,17 +148,19 @@
 		opt(&options)
 	}
 	return &Shard{
-		options:       options,
-		fence:         fence,
-		newestFence:   fence,
-		raisedFences:  make(map[apjob.WorkerID]uint64),
-		jobs:          make(map[apjob.ID]*job),
-		active:        make(map[apjob.ID]*job),
-		backfill:      make(map[apjob.ID]bool),
-		workers:       make(map[apjob.WorkerID]*worker),
-		queues:        make(map[apjob.Queue]Queue),
-		meanDurations: make(map[apjob.Queue]*movingAverage),
-		advice:        make(map[apjob.StepID]*stepAdvice),
+		options:      options,
+		fence:        fence,
+		newestFence:  fence,
+		raisedFences: make(map[apjob.WorkerID]uint64),
+
+		fenceRaisesDue: make(map[apjob.WorkerID]bool),
+		jobs:           make(map[apjob.ID]*job),
+		active:         make(map[apjob.ID]*job),
+		backfill:       make(map[apjob.ID]bool),
+		workers:        make(map[apjob.WorkerID]*worker),
+		queues:         make(map[apjob.Queue]Queue),
+		meanDurations:  make(map[apjob.Queue]*movingAverage),
+		advice:         make(map[apjob.StepID]*stepAdvice),
 	}
 }
 
--- a/pkg/apscheduler/fence_test.go
+++ b/pkg/apscheduler/fence_test.go
@@ -75,3 +75,34 @@
 	later := start.Add(time.Second)
 	assert.Equal(t, len(starts(s.Orders(later))), 1)
 }
+
+// A late poll of before may reach the process that registers after the worker was forgotten.
+func TestFenceRaiseThatIsDueOutlivesRegistration(t *testing.T) {
+	for name, failsWhileKnown := range map[string]bool{"poll fails before worker is forgotten": true, "poll fails after worker is forgotten": false} {
+		t.Run(name, func(t *testing.T) {
+			s := apscheduler.New(1)
+			s.Register(workerInfo("w1", 1000), start)
+			s.ApplyReport("w1", apworker.Report{StartedAt: start}, start, start)
+			earlier := pollFence(t, s, "w1", start)
+			if failsWhileKnown {
+				s.PollFailed("w1")
+			}
+			s.Unregister("w1")
+			later := start.Add(leaseOver)
+			s.Plan(later, later)
+			_, known := s.Poll("w1", later)
+			assert.Assert(t, !known)
+			if !failsWhileKnown {
+				s.PollFailed("w1")
+			}
+			s.Register(workerInfo("w1", 1000), later)
+			s.ApplyReport("w1", apworker.Report{StartedAt: later}, later, later)
+			s.Submit(job(apjob.Step{Count: 1, Need: apjob.Resources{CPU: 1000}}), 0, later)
+			s.Plan(later, later)
+			storeAll(s)
+			orders := s.Orders(later)
+			assert.Equal(t, len(orders), 1)
+			assert.Assert(t, orders[0].(apscheduler.Start).Order.Fence > earlier)
+		})
+	}
+}
--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -312,7 +312,7 @@
 		return Stop{To: w.target(), Order: apworker.StopOrder{Run: run, Fence: s.Fence(w.info.ID)}}
 	}
 	j := s.jobs[run.Task.Job]
-	if j == nil || !w.hasReported || o.inherited || w.fenceRaiseDue || w.mayHaveRestarted || o.attempts > 0 && s.suspect(w, now) || !s.mayExtend() {
+	if j == nil || !w.hasReported || o.inherited || s.fenceRaisesDue[w.info.ID] || w.mayHaveRestarted || o.attempts > 0 && s.suspect(w, now) || !s.mayExtend() {
 		return nil
 	}
 	return Start{To: w.target(), Order: apworker.StartOrder{
--- a/pkg/apscheduler/restart.go
+++ b/pkg/apscheduler/restart.go
@@ -28,8 +28,8 @@
 	w.clock, w.leaseEnd = 0, 0
 	w.clockReadAt = now
 	w.hasReported = false
-	w.fenceRaiseDue = true
-	s.raiseFence(w)
+	s.fenceRaisesDue[w.info.ID] = true
+	s.raiseFence(w.info.ID)
 }
 
 // PollFailed records that a poll of a worker failed, so that another process may answer the next one. Until that reports, it
@@ -37,9 +37,9 @@
 func (s *Shard) PollFailed(id apjob.WorkerID) {
 	if w, ok := s.workers[id]; ok {
 		w.mayHaveRestarted = true
-		w.fenceRaiseDue = true
-		s.raiseFence(w)
 	}
+	s.fenceRaisesDue[id] = true
+	s.raiseFence(id)
 }
 
 // clockTolerance is how much an answer may lag behind the reading of a worker's clock in a report that overtook it.
@@ -64,20 +64,18 @@
 // setNewestFence records that the owner may use fencing tokens up to fence.
 func (s *Shard) setNewestFence(fence uint64) {
 	s.newestFence = max(s.newestFence, fence)
-	for _, w := range s.workers {
-		if w.fenceRaiseDue {
-			s.raiseFence(w)
-		}
+	for id := range s.fenceRaisesDue {
+		s.raiseFence(id)
 	}
 }
 
 // raiseFence raises the fence of a worker that may have restarted, if there is a higher one than that of earlier orders.
 // Otherwise a call to the earlier process that is carried out late would reach the present one: a poll could acknowledge
 // ends that aren't stored, because their numbers begin anew.
-func (s *Shard) raiseFence(w *worker) {
-	if s.newestFence > s.Fence(w.info.ID) {
-		s.raisedFences[w.info.ID] = s.newestFence
-		w.fenceRaiseDue = false
-		s.logEvent("FenceRaised", apjob.RunKey{}, w.info.ID, map[string]any{"Fence": s.newestFence})
+func (s *Shard) raiseFence(id apjob.WorkerID) {
+	if s.newestFence > s.Fence(id) {
+		s.raisedFences[id] = s.newestFence
+		delete(s.fenceRaisesDue, id)
+		s.logEvent("FenceRaised", apjob.RunKey{}, id, map[string]any{"Fence": s.newestFence})
 	}
 }
--- a/pkg/apscheduler/worker.go
+++ b/pkg/apscheduler/worker.go
@@ -84,9 +84,6 @@
 	startedAt time.Time
 	// staleInfo is the last registration that named an earlier start time. It is in force if a report has that one.
 	staleInfo apworker.Info
-	// fenceRaiseDue means that the worker has or may have restarted and orders to its earlier process may have had the newest
-	// fence. Until there is a newer one, the worker gets no starts.
-	fenceRaiseDue bool
 	// hasReported means that the worker has reported to this owner since it last started.
 	hasReported bool
 	// mayHaveRestarted means that a poll has failed since the last report.
