apscheduler: another worker at an address that never reported ends no runs

A worker that has reported counts as ended when another one answers at its address and its registration is gone. The address was that of the last registration, which may name another one than that of the process that has reported: a later start time is no proof of a restart, and an entry of another writer may have none. Once such a registration had gone too, all runs of the worker were placed elsewhere, while they went on where it had reported.

Evidence: TestRunsAreKeptWhenAnotherWorkerAnswersWhereNothingHasReported failed before: "1 (int) != 0 (int): the run goes on where w1 has reported".

The shard notes the address of the last poll and that of the last report. Only if they are the same does an answer of another worker tell of the end.

--- a/pkg/apscheduler/report.go
+++ b/pkg/apscheduler/report.go
@@ -17,7 +17,7 @@
 	restarted := s.checkRestart(w, report, sentAt, now)
 	w.mayHaveRestarted, w.unnoticedLeaseEnd = false, time.Time{}
 	first := !w.hasReported
-	w.hasReported = true
+	w.hasReported, w.reportedFrom = true, w.polledAt
 	w.lastAnswerAt = now
 	w.clock, w.clockReadAt = report.Clock, now
 	if first {
--- a/pkg/apscheduler/worker.go
+++ b/pkg/apscheduler/worker.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -84,6 +85,8 @@
 	startedAt time.Time
 	// staleInfo is the last registration that named an earlier start time. It is in force if a report has that one.
 	staleInfo apworker.Info
+	// polledAt is the address of the last poll, reportedFrom that of the last one that was answered with a report.
+	polledAt, reportedFrom netip.AddrPort
 	// hasReported means that the worker has reported to this owner since it last started.
 	hasReported bool
 	// mayHaveRestarted means that a poll has failed since the last report.
@@ -284,6 +287,7 @@
 	if !ok {
 		return apworker.PollOrder{}, false
 	}
+	w.polledAt = w.info.Address
 	order := apworker.PollOrder{Fence: s.Fence(id)}
 	if w.mayHaveRestarted {
 		// The number of an end and a deadline mean something else to another process.
@@ -352,11 +356,11 @@
 }
 
 // WorkerReplaced records that another incarnation answers at a worker's address. If the worker has no registration
-// either, the process that has reported there has ended. The address of one that hasn't reported may be outdated.
+// either, the process that has reported there has ended. An address from which none has reported may be outdated or wrong.
 func (s *Shard) WorkerReplaced(id apjob.WorkerID, now time.Time) {
 	s.WorkerUnreachable(id)
 	w, ok := s.workers[id]
-	if !ok || w.registered || !w.hasReported {
+	if !ok || w.registered || !w.hasReported || w.polledAt != w.reportedFrom {
 		return
 	}
 	s.loseAllRuns(w, "Replaced", now)
