apscheduler: a worker that is new to a settled owner holds no longer lease than granted

Cause: the age of the process alone was taken for a sign that a call to an earlier process may have reached it.

Evidence: TestTasksOfNewWorkerWaitForLongestLeaseOnlyWhereCallsMayBeLate failed before in the case "new to a settled owner": the task was not started again 6 s after the last report.

Change: the longest lease counts only if such calls can exist: within 20 s of the first plan of this owner (another owner may have sent them) or of the time at which this owner forgot the worker. In both other cases of the test the task still waits.

--- a/pkg/apscheduler/apscheduler.go
+++ b/pkg/apscheduler/apscheduler.go
@@ -101,6 +101,8 @@
 	firstPlanAt time.Time
 	jobs        map[apjob.ID]*job
 	workers     map[apjob.WorkerID]*worker
+	// forgottenAt holds when a worker was forgotten, for lateCallAge.
+	forgottenAt map[apjob.WorkerID]time.Time
 	// sortedWorkers caches the workers sorted by ID; nil when it must be rebuilt.
 	sortedWorkers []*worker
 	// pathBuffer is reused by criticalPath to avoid allocations.
@@ -158,6 +160,7 @@
 		active:         make(map[apjob.ID]*job),
 		backfill:       make(map[apjob.ID]bool),
 		workers:        make(map[apjob.WorkerID]*worker),
+		forgottenAt:    make(map[apjob.WorkerID]time.Time),
 		queues:         make(map[apjob.Queue]Queue),
 		meanDurations:  make(map[apjob.Queue]*movingAverage),
 		advice:         make(map[apjob.StepID]*stepAdvice),
--- a/pkg/apscheduler/lease.go
+++ b/pkg/apscheduler/lease.go
@@ -1,6 +1,10 @@
 package apscheduler
 
-import "time"
+import (
+	"time"
+
+	"auburnport/pkg/apjob"
+)
 
 // mayExtend reports whether leases may be extended now.
 func (s *Shard) mayExtend() bool { return s.options.MayExtend == nil || s.options.MayExtend() }
@@ -17,13 +21,21 @@
 
 // unknownLease returns how long the lease of a worker that first reports may last: a previous owner may have extended it. A
 // young process may have taken a deadline on the clock of the one before for its longest lease.
-func (s *Shard) unknownLease(clock time.Duration, restarted bool) time.Duration {
-	if restarted || clock < lateCallAge {
+func (s *Shard) unknownLease(w *worker, clock time.Duration, restarted bool, now time.Time) time.Duration {
+	if restarted || clock < lateCallAge && s.callsMayBeLate(w.info.ID, now) {
 		return max(s.options.MaxLease, s.options.LongestLease)
 	}
 	return s.options.MaxLease
 }
 
+// callsMayBeLate reports whether calls to an earlier process of a worker may still be carried out: those of a previous owner,
+// or of this one from before it forgot the worker.
+func (s *Shard) callsMayBeLate(id apjob.WorkerID, now time.Time) bool {
+	forgottenAt, forgotten := s.forgottenAt[id]
+	recentOwner := s.firstPlanAt.IsZero() || now.Sub(s.firstPlanAt) < lateCallAge
+	return recentOwner || forgotten && now.Sub(forgottenAt) < lateCallAge
+}
+
 // leaseIsOver reports whether a worker's lease has certainly ended, and all runs that it held have been killed.
 func (s *Shard) leaseIsOver(w *worker, now time.Time) bool {
 	if !w.hasReported {
@@ -38,7 +50,7 @@
 	for id, w := range s.workers {
 		if !w.registered && len(w.occupants) == 0 {
 			if s.leaseIsOver(w, now) {
-				s.removeWorker(id)
+				s.removeWorker(id, now)
 			}
 			continue
 		}
--- a/pkg/apscheduler/lease_test.go
+++ b/pkg/apscheduler/lease_test.go
@@ -74,3 +74,47 @@
 	assert.Equal(t, len(starts(orders)), 0, "w1 has no room while %v goes on", run)
 	assert.DeepEqual(t, stops(orders), []apjob.RunKey{run})
 }
+
+// Nobody sent calls to an earlier process of a worker that is new to a settled owner, so its tasks need not wait for its longest
+// lease.
+func TestTasksOfNewWorkerWaitForLongestLeaseOnlyWhereCallsMayBeLate(t *testing.T) {
+	const maxLease, longestLease = 5 * time.Second, 10 * time.Second
+	settled := start.Add(30 * time.Second)
+	for _, c := range []struct {
+		name      string
+		joinsAt   time.Time
+		forgotten bool
+		restartAt time.Duration
+	}{
+		{name: "new to a settled owner", joinsAt: settled, restartAt: maxLease + 2*time.Second},
+		{name: "meets a new owner", joinsAt: start, restartAt: longestLease + 2*time.Second},
+		{name: "was forgotten shortly before", joinsAt: settled, forgotten: true, restartAt: longestLease + 2*time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := apscheduler.New(1, apscheduler.WithOptions(func(o *apscheduler.Options) { o.MaxLease, o.LongestLease = maxLease, longestLease }))
+			s.Plan(start, start)
+			if c.forgotten {
+				s.Register(workerInfo("w1", 1000), start)
+				s.ApplyReport("w1", apworker.Report{Clock: time.Minute}, start, start)
+				s.Unregister("w1")
+				s.Plan(c.joinsAt, c.joinsAt)
+			}
+			s.Register(workerInfo("w1", 1000), c.joinsAt)
+			s.ApplyReport("w1", apworker.Report{Clock: time.Second}, c.joinsAt, c.joinsAt)
+			s.Submit(job(apjob.Step{Count: 1, Need: apjob.Resources{CPU: 1000}}), 0, c.joinsAt)
+			run := apjob.RunKey{Task: taskID(0, 0), Run: 1}
+			assert.DeepEqual(t, startsAfterPlan(s, c.joinsAt), []apjob.RunKey{run})
+			s.OrderAnswered("w1", run, false, nil, c.joinsAt)
+			s.Register(workerInfo("w2", 1000), c.joinsAt)
+			for passed := time.Second; passed <= c.restartAt; passed += time.Second {
+				now := c.joinsAt.Add(passed)
+				s.ApplyReport("w2", apworker.Report{Clock: time.Minute}, now, now)
+				waits := passed < c.restartAt-time.Second
+				assert.Equal(t, len(startsAfterPlan(s, now)) == 0, waits, "%v after the last report", passed)
+				if !waits {
+					break
+				}
+			}
+		})
+	}
+}
