apscheduler: a young worker counts on its longest lease only if it may have been called before

A lasting task may wait for 9 s at most.

A deadline on an earlier clock can reach the process only by a call to the one before. So the longest lease counts only within 20 s of the takeover, when the calls of a previous owner may still be carried out, and within 20 s after the worker was forgotten.

--- a/pkg/apscheduler/apscheduler.go
+++ b/pkg/apscheduler/apscheduler.go
@@ -97,6 +97,8 @@
 	// fenceRaisesDue holds the workers that have or may have restarted and orders to whose earlier process may have had the
 	// newest fence. Until there is a newer one, they get no starts. A worker that is forgotten stays here, as its calls may be late.
 	fenceRaisesDue map[apjob.WorkerID]bool
+	// forgottenAt is when each worker that was forgotten within maxCallDelay was.
+	forgottenAt map[apjob.WorkerID]time.Time
 	// firstPlanAt is the time of the first call of Plan.
 	firstPlanAt time.Time
 	jobs        map[apjob.ID]*job
@@ -148,11 +150,11 @@
 		opt(&options)
 	}
 	return &Shard{
-		options:      options,
-		fence:        fence,
-		newestFence:  fence,
-		raisedFences: make(map[apjob.WorkerID]uint64),
-
+		options:        options,
+		fence:          fence,
+		newestFence:    fence,
+		raisedFences:   make(map[apjob.WorkerID]uint64),
+		forgottenAt:    make(map[apjob.WorkerID]time.Time),
 		fenceRaisesDue: make(map[apjob.WorkerID]bool),
 		jobs:           make(map[apjob.ID]*job),
 		active:         make(map[apjob.ID]*job),
--- a/pkg/apscheduler/lease.go
+++ b/pkg/apscheduler/lease.go
@@ -1,6 +1,10 @@
 package apscheduler
 
-import "time"
+import (
+	"time"
+
+	"auburnport/pkg/apjob"
+)
 
 // mayExtend reports whether leases may be extended now.
 func (s *Shard) mayExtend() bool { return s.options.MayExtend == nil || s.options.MayExtend() }
@@ -12,13 +16,15 @@
 	return end
 }
 
-// lateCallAge is the age of a process up to which a call to the process before it may be carried out there.
-const lateCallAge = 20 * time.Second
+// maxCallDelay is how late a call to a worker may be carried out.
+const maxCallDelay = 20 * time.Second
 
 // unknownLease returns how long the lease of a worker that first reports may last: a previous owner may have extended it. A
-// young process may have taken a deadline on the clock of the one before for its longest lease.
-func (s *Shard) unknownLease(clock time.Duration, restarted bool) time.Duration {
-	if restarted || clock < lateCallAge {
+// young process may have taken a deadline on the clock of the one before for its longest lease, if a previous owner, or
+// this one before the worker was forgotten, has called it lately.
+func (s *Shard) unknownLease(id apjob.WorkerID, clock time.Duration, restarted bool, now time.Time) time.Duration {
+	calledLately := s.firstPlanAt.IsZero() || now.Sub(s.firstPlanAt) < maxCallDelay || now.Sub(s.forgottenAt[id]) < maxCallDelay
+	if restarted || clock < maxCallDelay && calledLately {
 		return max(s.options.MaxLease, s.options.LongestLease)
 	}
 	return s.options.MaxLease
@@ -38,7 +44,7 @@
 	for id, w := range s.workers {
 		if !w.registered && len(w.occupants) == 0 {
 			if s.leaseIsOver(w, now) {
-				s.removeWorker(id)
+				s.removeWorker(id, now)
 			}
 			continue
 		}
--- a/pkg/apscheduler/lease_test.go
+++ b/pkg/apscheduler/lease_test.go
@@ -74,3 +74,46 @@
 	assert.Equal(t, len(starts(orders)), 0, "w1 has no room while %v goes on", run)
 	assert.DeepEqual(t, stops(orders), []apjob.RunKey{run})
 }
+
+// secondsUntilSecondStart returns how long after the first start of a task, on w1 whose process is a second old, it starts on w2.
+func secondsUntilSecondStart(t *testing.T, s *apscheduler.Shard, began time.Time) time.Duration {
+	t.Helper()
+	s.Register(workerInfo("w1", 1000), began)
+	s.ApplyReport("w1", apworker.Report{Clock: time.Second, StartedAt: began}, began, began)
+	s.Submit(job(apjob.Step{Count: 1, Need: apjob.Resources{CPU: 1000}}), 0, began)
+	run := apjob.RunKey{Task: taskID(0, 0), Run: 1}
+	assert.DeepEqual(t, startsAfterPlan(s, began), []apjob.RunKey{run})
+	s.OrderAnswered("w1", run, false, nil, began)
+	s.Register(workerInfo("w2", 1000), began)
+	for passed := time.Second; ; passed += time.Second {
+		now := began.Add(passed)
+		s.ApplyReport("w2", apworker.Report{Clock: passed, StartedAt: began}, now, now)
+		if len(startsAfterPlan(s, now)) > 0 {
+			return passed
+		}
+	}
+}
+
+func TestYoungWorkerMayHoldLongestLeaseIfCalledBefore(t *testing.T) {
+	newShard := func() *apscheduler.Shard {
+		return apscheduler.New(1, apscheduler.WithOptions(func(o *apscheduler.Options) { o.LongestLease = 10 * time.Second }))
+	}
+	longAfter := start.Add(time.Minute)
+	t.Run("a previous owner may have called it", func(t *testing.T) {
+		assert.Equal(t, secondsUntilSecondStart(t, newShard(), start), 11*time.Second)
+	})
+	t.Run("called before it was forgotten", func(t *testing.T) {
+		s := newShard()
+		s.Plan(start, start)
+		s.Register(workerInfo("w1", 1000), longAfter.Add(-leaseOver))
+		s.ApplyReport("w1", apworker.Report{Clock: time.Hour, StartedAt: start}, longAfter.Add(-leaseOver), longAfter.Add(-leaseOver))
+		s.Unregister("w1")
+		s.Plan(longAfter, longAfter)
+		assert.Equal(t, secondsUntilSecondStart(t, s, longAfter), 11*time.Second)
+	})
+	t.Run("never called before", func(t *testing.T) {
+		s := newShard()
+		s.Plan(start, start)
+		assert.Equal(t, secondsUntilSecondStart(t, s, longAfter), 6*time.Second)
+	})
+}
--- a/pkg/apscheduler/report.go
+++ b/pkg/apscheduler/report.go
@@ -21,7 +21,7 @@
 	w.lastAnswerAt = now
 	w.clock, w.clockReadAt = report.Clock, now
 	if first {
-		w.leaseEnd = report.Clock + s.unknownLease(report.Clock, restarted)
+		w.leaseEnd = report.Clock + s.unknownLease(id, report.Clock, restarted, now)
 	}
 	if len(report.Running) > 0 && report.Clock > w.leaseEnd {
 		// What runs has a lease, so it is longer than this owner knows.
--- a/pkg/apscheduler/worker.go
+++ b/pkg/apscheduler/worker.go
@@ -240,7 +240,9 @@
 }
 
 // removeWorker removes a worker from the shard.
-func (s *Shard) removeWorker(id apjob.WorkerID) {
+func (s *Shard) removeWorker(id apjob.WorkerID, now time.Time) {
+	maps.DeleteFunc(s.forgottenAt, func(_ apjob.WorkerID, at time.Time) bool { return now.Sub(at) >= maxCallDelay })
+	s.forgottenAt[id] = now
 	w := s.workers[id]
 	s.logEvent("WorkerForgotten", apjob.RunKey{}, id, map[string]any{"LastEnd": w.lastAppliedEnd, "Stored": w.lastStoredEnd()})
 	delete(s.workers, id)
@@ -364,5 +366,5 @@
 		return
 	}
 	s.loseAllRuns(w, "Replaced", now)
-	s.removeWorker(id)
+	s.removeWorker(id, now)
 }
