--- a/pkg/apscheduler/lease.go
+++ b/pkg/apscheduler/lease.go
@@ -16,26 +16,20 @@
 	return end
 }
 
-// lateCallAge is the age of a process up to which a call to the process before it may be carried out there.
-const lateCallAge = 20 * time.Second
+// maxCallDelay is how late a call to a worker may be carried out.
+const maxCallDelay = 20 * time.Second
 
 // unknownLease returns how long the lease of a worker that first reports may last: a previous owner may have extended it. A
-// young process may have taken a deadline on the clock of the one before for its longest lease.
-func (s *Shard) unknownLease(w *worker, clock time.Duration, restarted bool, now time.Time) time.Duration {
-	if restarted || clock < lateCallAge && s.callsMayBeLate(w.info.ID, now) {
+// young process may have taken a deadline on the clock of the one before for its longest lease, if a previous owner, or
+// this one before the worker was forgotten, has called it lately.
+func (s *Shard) unknownLease(id apjob.WorkerID, clock time.Duration, restarted bool, now time.Time) time.Duration {
+	calledLately := s.firstPlanAt.IsZero() || now.Sub(s.firstPlanAt) < maxCallDelay || now.Sub(s.forgottenAt[id]) < maxCallDelay
+	if restarted || clock < maxCallDelay && calledLately {
 		return max(s.options.MaxLease, s.options.LongestLease)
 	}
 	return s.options.MaxLease
 }
 
-// callsMayBeLate reports whether calls to an earlier process of a worker may still be carried out: those of a previous owner,
-// or of this one from before it forgot the worker.
-func (s *Shard) callsMayBeLate(id apjob.WorkerID, now time.Time) bool {
-	forgottenAt, forgotten := s.forgottenAt[id]
-	recentOwner := s.firstPlanAt.IsZero() || now.Sub(s.firstPlanAt) < lateCallAge
-	return recentOwner || forgotten && now.Sub(forgottenAt) < lateCallAge
-}
-
 // leaseIsOver reports whether a worker's lease has certainly ended, and all runs that it held have been killed.
 func (s *Shard) leaseIsOver(w *worker, now time.Time) bool {
 	if !w.hasReported {
--- a/pkg/apscheduler/lease_test.go
+++ b/pkg/apscheduler/lease_test.go
@@ -75,46 +75,45 @@
 	assert.DeepEqual(t, stops(orders), []apjob.RunKey{run})
 }
 
-// Nobody sent calls to an earlier process of a worker that is new to a settled owner, so its tasks need not wait for its longest
-// lease.
-func TestTasksOfNewWorkerWaitForLongestLeaseOnlyWhereCallsMayBeLate(t *testing.T) {
-	const maxLease, longestLease = 5 * time.Second, 10 * time.Second
-	settled := start.Add(30 * time.Second)
-	for _, c := range []struct {
-		name      string
-		joinsAt   time.Time
-		forgotten bool
-		restartAt time.Duration
-	}{
-		{name: "new to a settled owner", joinsAt: settled, restartAt: maxLease + 2*time.Second},
-		{name: "meets a new owner", joinsAt: start, restartAt: longestLease + 2*time.Second},
-		{name: "was forgotten shortly before", joinsAt: settled, forgotten: true, restartAt: longestLease + 2*time.Second},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			s := apscheduler.New(1, apscheduler.WithOptions(func(o *apscheduler.Options) { o.MaxLease, o.LongestLease = maxLease, longestLease }))
-			s.Plan(start, start)
-			if c.forgotten {
-				s.Register(workerInfo("w1", 1000), start)
-				s.ApplyReport("w1", apworker.Report{Clock: time.Minute}, start, start)
-				s.Unregister("w1")
-				s.Plan(c.joinsAt, c.joinsAt)
-			}
-			s.Register(workerInfo("w1", 1000), c.joinsAt)
-			s.ApplyReport("w1", apworker.Report{Clock: time.Second}, c.joinsAt, c.joinsAt)
-			s.Submit(job(apjob.Step{Count: 1, Need: apjob.Resources{CPU: 1000}}), 0, c.joinsAt)
-			run := apjob.RunKey{Task: taskID(0, 0), Run: 1}
-			assert.DeepEqual(t, startsAfterPlan(s, c.joinsAt), []apjob.RunKey{run})
-			s.OrderAnswered("w1", run, false, nil, c.joinsAt)
-			s.Register(workerInfo("w2", 1000), c.joinsAt)
-			for passed := time.Second; passed <= c.restartAt; passed += time.Second {
-				now := c.joinsAt.Add(passed)
-				s.ApplyReport("w2", apworker.Report{Clock: time.Minute}, now, now)
-				waits := passed < c.restartAt-time.Second
-				assert.Equal(t, len(startsAfterPlan(s, now)) == 0, waits, "%v after the last report", passed)
-				if !waits {
-					break
-				}
-			}
-		})
+// secondsUntilSecondStart returns how long after the first start of a task, on w1 whose process is a second old, it starts on w2.
+func secondsUntilSecondStart(t *testing.T, s *apscheduler.Shard, began time.Time) time.Duration {
+	t.Helper()
+	s.Register(workerInfo("w1", 1000), began)
+	s.ApplyReport("w1", apworker.Report{Clock: time.Second, StartedAt: began}, began, began)
+	s.Submit(job(apjob.Step{Count: 1, Need: apjob.Resources{CPU: 1000}}), 0, began)
+	run := apjob.RunKey{Task: taskID(0, 0), Run: 1}
+	assert.DeepEqual(t, startsAfterPlan(s, began), []apjob.RunKey{run})
+	s.OrderAnswered("w1", run, false, nil, began)
+	s.Register(workerInfo("w2", 1000), began)
+	for passed := time.Second; ; passed += time.Second {
+		now := began.Add(passed)
+		s.ApplyReport("w2", apworker.Report{Clock: passed, StartedAt: began}, now, now)
+		if len(startsAfterPlan(s, now)) > 0 {
+			return passed
+		}
+	}
+}
+
+func TestYoungWorkerMayHoldLongestLeaseIfCalledBefore(t *testing.T) {
+	newShard := func() *apscheduler.Shard {
+		return apscheduler.New(1, apscheduler.WithOptions(func(o *apscheduler.Options) { o.LongestLease = 10 * time.Second }))
 	}
+	longAfter := start.Add(time.Minute)
+	t.Run("a previous owner may have called it", func(t *testing.T) {
+		assert.Equal(t, secondsUntilSecondStart(t, newShard(), start), 11*time.Second)
+	})
+	t.Run("called before it was forgotten", func(t *testing.T) {
+		s := newShard()
+		s.Plan(start, start)
+		s.Register(workerInfo("w1", 1000), longAfter.Add(-leaseOver))
+		s.ApplyReport("w1", apworker.Report{Clock: time.Hour, StartedAt: start}, longAfter.Add(-leaseOver), longAfter.Add(-leaseOver))
+		s.Unregister("w1")
+		s.Plan(longAfter, longAfter)
+		assert.Equal(t, secondsUntilSecondStart(t, s, longAfter), 11*time.Second)
+	})
+	t.Run("never called before", func(t *testing.T) {
+		s := newShard()
+		s.Plan(start, start)
+		assert.Equal(t, secondsUntilSecondStart(t, s, longAfter), 6*time.Second)
+	})
 }
