Jobs: what a job needs of its queue holds from its acceptance

A job of a removed queue also had no time until its deadline, the highest priority, and was started without tickets.

Cause: the scheduler looked the settings up in the newest table, and took the zero value of a queue that it doesn't have.

The change: the job's record keeps attempts, stretch, slack, priority and the need of tickets of its queue as of its acceptance. A job of an earlier build follows the newest settings, then the last known ones. Without any, its deadline is a minute after its estimate, known priorities go first, and a task that has failed waits until its attempts are known, when it goes on or fails.

No write is added.

--- a/internal/apintake/jobs.go
+++ b/internal/apintake/jobs.go
@@ -12,7 +12,7 @@
 	"auburnport/pkg/apstore"
 )
 
-// Submit stores a job. It is idempotent: it also succeeds when the job is already stored or has ended, in the shard of
+// Submit stores a job with the present settings of its queue. It is idempotent: it also succeeds when the job is already stored or has ended, in the shard of
 // whatever service. Errors: StoreUnavailable (not stored), JobUnsettled (may be stored).
 func (i *Intake) Submit(ctx context.Context, queue apqueue.Queue, job *apjob.Job) error {
 	err := i.submit(ctx, queue, job)
@@ -23,10 +23,14 @@
 func (i *Intake) submit(ctx context.Context, queue apqueue.Queue, job *apjob.Job) error {
 	shard := shardOf(queue)
 	key, locationKey := apjournal.JobKey(shard, job.ID), apjournal.LocationKey(job.ID)
+	accepted := *job
+	accepted.Terms = apjob.Terms{
+		MaxAttempts: queue.MaxAttempts, Stretch: queue.Stretch, Slack: queue.Slack, Priority: queue.Priority, NeedsTicket: queue.Advice != nil,
+	}
 	location := apjournal.Location{Shard: shard, Queue: queue.Name, Host: queue.Host, Prefix: queue.Prefix}
 	transaction := apstore.Transaction{
 		Conditions: []apstore.Condition{{Key: locationKey}, {Key: key}, {Key: apjournal.ProgressKey(shard, job.ID)}},
-		Puts:       []apstore.Put{{Key: key, Data: apfleet.Encode(job)}, {Key: locationKey, Data: apfleet.Encode(location)}},
+		Puts:       []apstore.Put{{Key: key, Data: apfleet.Encode(accepted)}, {Key: locationKey, Data: apfleet.Encode(location)}},
 	}
 	maybeStored := false
 	for {
--- a/pkg/apjob/apjob.go
+++ b/pkg/apjob/apjob.go
@@ -130,6 +130,22 @@
 	Every  time.Duration `cbor:"7,keyasint,omitempty"`
 	// Submitted is the wall-clock time at which an entry accepted the job.
 	Submitted time.Time `cbor:"8,keyasint"`
+	// Terms are zero for a job that was accepted by an entry older than the field.
+	Terms Terms `cbor:"9,keyasint,omitzero"`
+}
+
+// Terms are the settings of a job's queue when it accepted the job.
+type Terms struct {
+	// MaxAttempts is the number of failed runs of a task after which the job fails; 0 if it isn't known.
+	MaxAttempts int `cbor:"1,keyasint,omitempty"`
+	// Stretch and Slack set the soft deadline of the job, counted from its submission: Stretch times the estimated
+	// duration of its critical path, plus Slack.
+	Stretch float64       `cbor:"2,keyasint,omitempty"`
+	Slack   time.Duration `cbor:"3,keyasint,omitempty"`
+	// Priority and NeedsTicket hold only once the queue is removed.
+	Priority int `cbor:"4,keyasint,omitempty"`
+	// NeedsTicket means that a task may start only with a ticket from the queue's advisor.
+	NeedsTicket bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Check returns a BadJob error if the job is invalid.
--- a/pkg/apscheduler/apscheduler.go
+++ b/pkg/apscheduler/apscheduler.go
@@ -102,7 +102,11 @@
 	sortedWorkers []*worker
 	// pathBuffer is reused by criticalPath to avoid allocations.
 	pathBuffer []time.Duration
-	queues     map[apjob.Queue]Queue
+	// queues holds the settings of the queues in force, formerQueues the last ones of those that were removed.
+	queues       map[apjob.Queue]Queue
+	formerQueues map[apjob.Queue]Queue
+	// queuesChanged means that the settings of queues were replaced since the last call of Plan.
+	queuesChanged bool
 	// cordoned workers get no new runs and are evacuated in ascending order of their numbers. lastCordon
 	// is the highest number given out.
 	cordoned   map[apjob.WorkerID]int
@@ -159,9 +163,6 @@
 	}
 }
 
-// SetQueues replaces the settings of all queues.
-func (s *Shard) SetQueues(queues map[apjob.Queue]Queue) { s.queues = queues }
-
 // TakeEvents returns the events since the last call and clears them.
 func (s *Shard) TakeEvents() []Event {
 	events := s.events
--- a/pkg/apscheduler/job.go
+++ b/pkg/apscheduler/job.go
@@ -21,6 +21,8 @@
 	// softDeadline is when the job should be done; after hardDeadline its completion has no value any more.
 	softDeadline time.Time
 	hardDeadline time.Time
+	// termsUnknown means that the job has no terms and that the settings of its queue aren't known yet.
+	termsUnknown bool
 	recordQueued bool
 	// recordDeferred means that the job is in the shard's deferredRecords, as recordQueued means that it is in
 	// queuedRecords.
@@ -170,6 +172,7 @@
 	if !j.state().Final() {
 		s.active[j.def.ID] = j
 	}
+	j.termsUnknown = s.terms(j.def).MaxAttempts == 0
 	s.setDeadlines(j)
 }
 
@@ -313,10 +316,8 @@
 	if j.state().Final() {
 		return
 	}
-	step := &j.def.Steps[id.Step]
-	if reason == apworker.EndFailed && !step.LongRunning && j.failedRuns(id) >= max(1, s.queues[j.def.Queue].MaxAttempts) {
-		s.logEvent("JobFailed", apjob.RunKey{Task: id}, "", map[string]any{"Attempts": j.failedRuns(id)})
-		s.finishJob(j, apjob.Failed, now)
+	if reason == apworker.EndFailed && s.outOfAttempts(j, id) {
+		s.failJob(j, id, now)
 		return
 	}
 	if reason != apworker.EndDone {
--- a/pkg/apscheduler/learn.go
+++ b/pkg/apscheduler/learn.go
@@ -106,7 +106,7 @@
 
 // setDeadlines computes the soft and hard deadlines of a job.
 func (s *Shard) setDeadlines(j *job) {
-	queue := s.queues[j.def.Queue]
+	queue := s.terms(j.def)
 	criticalPath := s.criticalPath(j.def, func(n int) time.Duration { return s.estimate(j.def, &j.def.Steps[n]) })
 	allowed := time.Duration(queue.Stretch*float64(criticalPath)) + queue.Slack
 	j.softDeadline = j.acceptedAt.Add(allowed)
--- a/pkg/apscheduler/place.go
+++ b/pkg/apscheduler/place.go
@@ -106,7 +106,7 @@
 		return false
 	}
 	tasks := j.occurrence(c.occurrence).Steps[c.step]
-	if s.queues[j.def.Queue].NeedsTicket {
+	if s.terms(j.def).NeedsTicket {
 		id := apjob.StepID{Job: j.def.ID, Occurrence: c.occurrence, Step: c.step}
 		eligible = s.workersWithTickets(id, countWaiting(tasks), eligible, now)
 	}
--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -73,6 +73,7 @@
 	if s.firstPlanAt.IsZero() {
 		s.firstPlanAt = now
 	}
+	s.learnTerms(now)
 	s.expireLeases(now)
 	s.queueDueRecords(now)
 	s.throttleBackfill()
@@ -197,7 +198,7 @@
 			}
 			criticalPath, work := s.remainingWork(j, occurrence)
 			for n := range occurrence.Steps {
-				if !occurrence.Ready(j.def, n) {
+				if !occurrence.Ready(j.def, n) || s.attemptsUnknown(j, occurrence, n) {
 					continue
 				}
 				laxity := hardDeadline.Sub(now) - criticalPath
@@ -205,7 +206,7 @@
 					job: j, occurrence: occurrence.Number, step: n,
 					urgency:    urgencyOf(j.def.Steps[n].LongRunning, softDeadline.Sub(now)-criticalPath, laxity),
 					jobRunning: j.state() != apjob.Pending, laxity: laxity, work: work,
-					priority: s.queues[j.def.Queue].Priority,
+					priority: s.terms(j.def).Priority,
 				})
 			}
 		}
