One odd registration, row or report leaves the others in use

Tasks ran on a worker of another pool and two runs of one task went on at once; the owner ended on the other owner's fence, and each successor after it.

Cause: a registration was taken as it was decoded. Nothing bounded the ID, the numbers or the address.

An unreadable entry names no worker, however it is read; its runs go on until they end. A watch whose answer can't be decoded reads the list anew; it asked for the same answer for ever.

--- a/internal/apowner/workers.go
+++ b/internal/apowner/workers.go
@@ -82,6 +82,7 @@
 		info, err := o.config.Registry.Parse(event.Value.Key, event.Value.Data)
 		if err != nil {
 			o.config.Log("WorkerUnreadable", map[string]any{"Worker": id, "Error": err})
+			o.scheduler.Unregister(id)
 			continue
 		}
 		if info.Service != apfleet.ServiceName(o.config.Shard) {
--- a/pkg/apjob/apjob.go
+++ b/pkg/apjob/apjob.go
@@ -198,14 +198,14 @@
 // ParseTaskID parses the form returned by TaskID.String. Errors have the code BadMessage.
 func ParseTaskID(text string) (TaskID, error) {
 	parts := strings.Split(text, ".")
-	if len(parts) != 4 {
-		return TaskID{}, apcode.Errorf(apcode.BadMessage, "task ID %q must have four parts", text)
+	if len(parts) != 4 || parts[0] == "" {
+		return TaskID{}, apcode.Errorf(apcode.BadMessage, "task ID %.60q must have four parts", text)
 	}
 	var numbers [3]int
 	for i, part := range parts[1:] {
 		n, err := strconv.Atoi(part)
 		if err != nil || n < 0 {
-			return TaskID{}, apcode.Errorf(apcode.BadMessage, "task ID %q has an invalid number", text)
+			return TaskID{}, apcode.Errorf(apcode.BadMessage, "task ID %.60q has an invalid number", text)
 		}
 		numbers[i] = n
 	}
--- a/pkg/apstore/watcher.go
+++ b/pkg/apstore/watcher.go
@@ -58,7 +58,8 @@
 	return nil
 }
 
-// watch follows changes until the store no longer has the history needed.
+// watch follows changes until the store no longer has the history needed, or gives it in a form that can't be read, which
+// would be the same at each further attempt.
 func (w Watcher) watch(ctx context.Context, after Revision, apply func(Update)) {
 	wait := w.Timeout
 	for ctx.Err() == nil {
@@ -70,6 +71,9 @@
 		if err != nil {
 			apply(Update{Err: err, RequestedAt: requestedAt})
 			Sleep(ctx, w.Backoff)
+			if apcode.Is(err, apcode.BadMessage) {
+				return
+			}
 			// Let the next watch return at once, to report the store's recovery without waiting for a change.
 			wait = 0
 			continue
--- a/pkg/apstore/watcher_test.go
+++ b/pkg/apstore/watcher_test.go
@@ -48,3 +48,42 @@
 		assert.DeepEqual(t, store.waits[:4], []time.Duration{2 * time.Second, 0, 0, 2 * time.Second})
 	})
 }
+
+// unreadableFeedStore answers each watch from before a revision with what can't be decoded.
+type unreadableFeedStore struct {
+	apstore.TransactionalStore
+	until apstore.Revision
+}
+
+func (u *unreadableFeedStore) WatchChanges(ctx context.Context, prefix apfleet.Key, after apstore.Revision, wait time.Duration) (apstore.Feed, error) {
+	if after < u.until {
+		return apstore.Feed{}, apcode.Errorf(apcode.BadMessage, "unreadable")
+	}
+	return u.TransactionalStore.WatchChanges(ctx, prefix, after, wait)
+}
+
+func TestWatcherFollowsOnAfterUnreadableFeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &unreadableFeedStore{TransactionalStore: memory.TransactionalStore{Store: memory.New()}, until: 1}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		put := func(key apfleet.Key) {
+			_, err := store.Commit(ctx, apstore.Transaction{Puts: []apstore.Put{{Key: key, Data: []byte("v")}}})
+			assert.NilError(t, err)
+		}
+		seen := make(map[apfleet.Key]bool)
+		watcher := apstore.Watcher{Store: store, Prefix: "p/", Timeout: 2 * time.Second, Backoff: 100 * time.Millisecond}
+		assert.NilError(t, watcher.Run(ctx, func(update apstore.Update) {
+			switch {
+			case update.Err != nil && len(seen) == 0:
+				put("p/1")
+			case seen["p/1"] && !seen["p/2"]:
+				put("p/2")
+			}
+			for _, event := range update.Events {
+				seen[event.Value.Key] = true
+			}
+		}))
+		assert.Assert(t, seen["p/1"] && seen["p/2"], "%v", seen)
+	})
+}
