--- a/internal/apnode/apnode_test.go
+++ b/internal/apnode/apnode_test.go
@@ -103,7 +103,9 @@
 	machines, err := e.ServeMachines()
 	assert.NilError(t, err)
 	ip := uniqueLoopback()
-	e.settings, err = apadapter.ParseSettings(e.Settings(name, netip.AddrPortFrom(ip, 8624), netip.AddrPortFrom(ip, 8622), 7060, store, machines))
+	e.settings, err = apadapter.ParseSettings(e.Settings(apemulator.EntrySettings{
+		Name: name, Callers: netip.AddrPortFrom(ip, 8624), Readiness: netip.AddrPortFrom(ip, 8622), FirstPort: 7060, Store: store, Machines: machines,
+	}))
 	assert.NilError(t, err)
 	logger, err := aplog.New(&e.log, "info", aplog.FormatText)
 	assert.NilError(t, err)
--- a/internal/apsoak/entry.go
+++ b/internal/apsoak/entry.go
@@ -63,7 +63,9 @@
 		return nil, err
 	}
 	p.settings = filepath.Join(dir, p.name+".conf")
-	text := e.Settings(p.name, p.callersAddress, p.readyAddress, portFirst, p.storeProxy.Address(), machines)
+	text := e.Settings(apemulator.EntrySettings{
+		Name: p.name, Callers: p.callersAddress, Readiness: p.readyAddress, FirstPort: portFirst, Store: p.storeProxy.Address(), Machines: machines,
+	})
 	if err := os.WriteFile(p.settings, text, 0o600); err != nil {
 		return nil, apcode.Wrapf(apcode.BadValue, err, "write the settings of %s", p.name)
 	}
