apscheduler: a start that is sent again has a newer fence

A poll to the process before was carried out by the next one after a task had ended there, and acknowledged its end, which had been listed to nobody.

An unanswered start is sent again after 0.3 s. Now that goes under the newest fence that the owner may use, so that the process which gets it refuses earlier polls. Nothing waits for this: without a newer fence the start goes out as before. What remains is a task that ends on the next process before the start was sent again.

--- a/internal/apowner/latepoll_test.go
+++ b/internal/apowner/latepoll_test.go
@@ -118,6 +118,22 @@
 	delayed chan struct{}
 	worker  apjob.WorkerID
 	delay   time.Duration
+	// losesAnswers means that the answers to starts are lost until the poll is carried out.
+	losesAnswers bool
+	carriedOut   *atomic.Bool
+}
+
+func (c slowPollClient) Start(ctx context.Context, to apworker.Target, order apworker.StartOrder) (apworker.Reply, error) {
+	reply, err := c.fakePool.Start(ctx, to, order)
+	select {
+	case <-c.delayed:
+		if c.losesAnswers && !c.carriedOut.Load() {
+			apstore.Sleep(ctx, startTimeout)
+			return apworker.Reply{}, apcode.Errorf(apcode.WorkerSilent, "no answer")
+		}
+	default:
+	}
+	return reply, err
 }
 
 func (c slowPollClient) Poll(ctx context.Context, to apworker.Target, order apworker.PollOrder) (apworker.Report, error) {
@@ -131,6 +147,7 @@
 	carriedOut := make(chan struct{})
 	time.AfterFunc(c.delay, func() {
 		report, err = c.fakePool.Poll(context.WithoutCancel(ctx), to, order)
+		c.carriedOut.Store(true)
 		close(carriedOut)
 	})
 	select {
@@ -145,28 +162,43 @@
 func TestTasksRunOnceWhenNextProcessAnswersPollUnderWay(t *testing.T) {
 	for _, delay := range []time.Duration{400 * time.Millisecond, 800 * time.Millisecond, 1200 * time.Millisecond} {
 		t.Run(delay.String(), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				store := memory.TransactionalStore{Store: memory.New()}
-				pool := newFakePool(t, 1, 1)
-				pool.taskDuration = 200 * time.Millisecond
-				pool.register(t, store)
-				time.Sleep(time.Minute)
-				first := submit(t, store, 1)
-				group := &errgroup.Group{}
-				ctx, cancel := context.WithCancel(t.Context())
-				client := slowPollClient{fakePool: pool, armed: &atomic.Bool{}, delayed: make(chan struct{}), worker: "i-0", delay: delay}
-				group.Go(func() error { return runOwner(ctx, t, store, client, "owner") })
-				waitUntilDone(t, store, first)
-				time.Sleep(2 * time.Second)
-				client.armed.Store(true)
-				<-client.delayed
-				pool.restart("i-0")
-				time.Sleep(50 * time.Millisecond)
-				second := submit(t, store, 2)
-				waitUntilDone(t, store, second)
-				cancel()
-				assert.NilError(t, group.Wait())
-			})
+			synctest.Test(t, func(t *testing.T) { restartDuringPoll(t, delay, 200*time.Millisecond, false) })
 		})
 	}
 }
+
+func TestTasksRunOnceWhenNextProcessAnswersPollAndNoStart(t *testing.T) {
+	for _, delay := range []time.Duration{900 * time.Millisecond, 1200 * time.Millisecond, 1500 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { restartDuringPoll(t, delay, 750*time.Millisecond, true) })
+		})
+	}
+}
+
+// restartDuringPoll restarts the only worker while a poll is under way, which the next process carries out after a delay. Tasks
+// of the given duration start there before.
+func restartDuringPoll(t *testing.T, delay, duration time.Duration, losesAnswers bool) {
+	store := memory.TransactionalStore{Store: memory.New()}
+	pool := newFakePool(t, 1, 1)
+	pool.taskDuration = duration
+	pool.register(t, store)
+	time.Sleep(time.Minute)
+	first := submit(t, store, 1)
+	group := &errgroup.Group{}
+	ctx, cancel := context.WithCancel(t.Context())
+	client := slowPollClient{
+		fakePool: pool, armed: &atomic.Bool{}, delayed: make(chan struct{}), worker: "i-0", delay: delay,
+		losesAnswers: losesAnswers, carriedOut: &atomic.Bool{},
+	}
+	group.Go(func() error { return runOwner(ctx, t, store, client, "owner") })
+	waitUntilDone(t, store, first)
+	time.Sleep(2 * time.Second)
+	client.armed.Store(true)
+	<-client.delayed
+	pool.restart("i-0")
+	time.Sleep(50 * time.Millisecond)
+	second := submit(t, store, 2)
+	waitUntilDone(t, store, second)
+	cancel()
+	assert.NilError(t, group.Wait())
+}
--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -315,6 +315,10 @@
 	if j == nil || !w.hasReported || o.inherited || s.fenceRaisesDue[w.info.ID] || w.mayHaveRestarted || o.attempts > 0 && s.suspect(w, now) || !s.mayExtend() {
 		return nil
 	}
+	if o.attempts > 0 {
+		// Another process may have carried the first one out. It is to refuse polls of before, which would acknowledge its ends.
+		s.raiseFence(w.info.ID)
+	}
 	return Start{To: w.target(), Order: apworker.StartOrder{
 		Run: run, Spec: j.def.Spec, Deadline: s.extendLease(w, now), Fence: s.Fence(w.info.ID),
 		Checkpoint: o.checkpoint, Ticket: o.ticket,
