Scheduler: place a task wherever it can run, in the end

Cause: preferences excluded workers. bestWorker left out the workers on which the task had failed if the pool had any other, one that could run it or not; backfill was never placed beside serving tasks; the advisor was asked again about the same allowed workers, full or not. By the same reading: a reserved or quarantined worker was kept also from tasks that can run nowhere else, a refused ticket was used until it expired, and a question that took the advisor too long was asked again unchanged.

The change: choose.go states the invariant. possibleWorkers and couldRun alone exclude a worker, and all ways of placing (steps, gangs, evacuation, questions to the advisor) choose with them and bestWorker. The rest ranks workers, and delays a task by bounded times: 1 s where another worker may have room soon, 1.5 s where the only workers that could ever run it are quarantined or reserved (reserve.go). A task that could run elsewhere once room comes still waits for that, so that a burst doesn't void quarantine and reservations. A reservation pauses after 10 s, and a gang that lasts reserves for the whole gang or not at all. The advisor is asked first about workers that could run the step now; each answer without a ticket doubles the next question, each missing one halves it.

Backfill beside serving tasks: it goes where the latency is lowest, and is paused at 0.8 of the target, as where a serving task comes to it. Never placing it loses it; starting it paused would keep it so for good where the latency stays between 0.4 and 0.8 of the target without it.

TestBackfillYieldsToServingTasks asserted that a backfill task finds no place on the only worker, which serves. That was the fault. It now asserts that the task goes to a worker that doesn't serve if there is one, otherwise beside the serving task, and that it is paused there.

--- a/pkg/apscheduler/advice.go
+++ b/pkg/apscheduler/advice.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"auburnport/pkg/apcode"
 	"auburnport/pkg/apfleet"
 	"auburnport/pkg/apjob"
 	"auburnport/pkg/apworker"
@@ -19,6 +20,8 @@
 	workersAskedPerTask = 3
 	// maxWorkersPerQuestion limits a question because the advisor's answer time grows with each worker.
 	maxWorkersPerQuestion = 30
+	// maxQuestionGrowth doublings lead from the smallest question to the largest one.
+	maxQuestionGrowth = 5
 )
 
 // Question asks the advisor which of the workers may run a step.
@@ -33,6 +36,9 @@
 	allowed         map[apjob.WorkerID]bool
 	tickets         map[apjob.WorkerID]ticket
 	questionPending bool
+	// growth is how often the next question is doubled, as answers had no ticket, or halved if below 0, as there was no
+	// answer in time.
+	growth int
 }
 
 type ticket struct {
@@ -58,8 +64,15 @@
 		"Asked": len(q.Workers), "Allowed": len(answer.Tickets), "Error": err,
 	})
 	if err != nil {
+		if apcode.Is(err, apcode.WorkerSilent) {
+			a.growth = max(min(a.growth, 0)-1, -maxQuestionGrowth)
+		}
 		return
 	}
+	a.growth = min(a.growth+1, maxQuestionGrowth)
+	if len(answer.Tickets) > 0 {
+		a.growth = min(a.growth, 0)
+	}
 	for _, id := range q.Workers {
 		text, ok := answer.Tickets[id]
 		a.allowed[id] = ok
@@ -69,42 +82,93 @@
 	}
 }
 
-// workersWithTickets returns the eligible workers that have a valid ticket for the step. If there are fewer
-// of them than waiting tasks, it queues a question about other workers.
-func (s *Shard) workersWithTickets(step apjob.StepID, waiting int, eligible []*worker, now time.Time) []*worker {
+// withoutDenied returns the workers but those that the advisor has denied a step.
+func (s *Shard) withoutDenied(step apjob.StepID, workers []*worker) []*worker {
 	a := s.advice[step]
+	if a == nil {
+		return workers
+	}
+	var possible []*worker
+	for _, w := range workers {
+		if allowed, asked := a.allowed[w.info.ID]; allowed || !asked {
+			possible = append(possible, w)
+		}
+	}
+	return possible
+}
+
+// workersWithTickets returns the possible workers that have a valid ticket for the step, and all of them if it needs none. If
+// those with a ticket have no room for the waiting tasks, it queues a question about others that have. If there
+// are fewer of them than waiting tasks, the question is also about workers that may have room later.
+func (s *Shard) workersWithTickets(j *job, q *search, waiting int, possible []*worker, now time.Time) []*worker {
+	if !s.queues[j.def.Queue].NeedsTicket {
+		return possible
+	}
+	a := s.advice[q.id]
 	if a == nil {
 		a = &stepAdvice{allowed: make(map[apjob.WorkerID]bool), tickets: make(map[apjob.WorkerID]ticket)}
-		s.advice[step] = a
+		s.advice[q.id] = a
 	}
 	var ready, candidates []*worker
-	for _, w := range eligible {
-		allowed, asked := a.allowed[w.info.ID]
-		switch {
-		case now.Add(minTicketValidity).Before(a.tickets[w.info.ID].expiresAt):
+	room := 0
+	for _, w := range possible {
+		if now.Add(minTicketValidity).Before(a.tickets[w.info.ID].expiresAt) {
 			ready = append(ready, w)
-		case allowed || !asked:
+			if s.unwelcome(q, w) == 0 {
+				room += q.countIn(w.info.Capacity.Sub(w.used), w)
+			}
+		}
+	}
+	if a.questionPending {
+		return ready
+	}
+	for _, w := range possible {
+		missing := room < waiting && q.couldRun(w) || len(ready) < waiting && s.countLater(q, w) > 0
+		if missing && !slices.Contains(ready, w) {
 			candidates = append(candidates, w)
 		}
 	}
-	if len(ready) < waiting && len(candidates) > 0 && !a.questionPending {
+	if len(candidates) > 0 {
 		a.questionPending = true
-		s.queueQuestion(step, a, candidates, min(workersAskedPerTask*waiting, maxWorkersPerQuestion))
+		s.queueQuestion(q, a, candidates, a.questionSize(waiting))
 	}
 	return ready
 }
 
-// queueQuestion queues a question about at most limit of the candidates. Workers known to be allowed come
-// first, then those with the least CPU in use.
-func (s *Shard) queueQuestion(step apjob.StepID, a *stepAdvice, candidates []*worker, limit int) {
+// questionSize returns how many workers the next question names for a number of waiting tasks.
+func (a *stepAdvice) questionSize(waiting int) int {
+	size := min(workersAskedPerTask*waiting<<max(a.growth, 0), maxWorkersPerQuestion)
+	return max(1, size>>max(-a.growth, 0))
+}
+
+// queueQuestion queues a question about at most limit of the candidates. Workers that could run the step now come first, then
+// those that suit it, those known to be allowed, and those with the least CPU in use.
+func (s *Shard) queueQuestion(q *search, a *stepAdvice, candidates []*worker, limit int) {
 	slices.SortFunc(candidates, func(x, y *worker) int {
-		return cmp.Or(-apfleet.CompareBool(a.allowed[x.info.ID], a.allowed[y.info.ID]), cmp.Compare(x.used.CPU, y.used.CPU), cmp.Compare(x.info.ID, y.info.ID))
+		return cmp.Or(
+			-apfleet.CompareBool(q.couldRun(x), q.couldRun(y)), cmp.Compare(s.unwelcome(q, x), s.unwelcome(q, y)),
+			-apfleet.CompareBool(a.allowed[x.info.ID], a.allowed[y.info.ID]), cmp.Compare(x.used.CPU, y.used.CPU), cmp.Compare(x.info.ID, y.info.ID),
+		)
 	})
-	q := Question{Step: step}
+	question := Question{Step: q.id}
 	for _, w := range candidates[:min(limit, len(candidates))] {
-		q.Workers = append(q.Workers, w.info.ID)
+		question.Workers = append(question.Workers, w.info.ID)
+	}
+	s.pendingQuestions = append(s.pendingQuestions, question)
+}
+
+// dropTicket forgets a ticket that the worker has refused.
+func (s *Shard) dropTicket(step apjob.StepID, workerID apjob.WorkerID) {
+	if a := s.advice[step]; a != nil {
+		delete(a.tickets, workerID)
+	}
+}
+
+// dropTickets forgets all tickets for a worker that has restarted. What the advisor allows doesn't change by that.
+func (s *Shard) dropTickets(workerID apjob.WorkerID) {
+	for _, a := range s.advice {
+		delete(a.tickets, workerID)
 	}
-	s.pendingQuestions = append(s.pendingQuestions, q)
 }
 
 // ticketFor returns the ticket for running the step on a worker, or "" if the step needs none.
--- a/pkg/apscheduler/apscheduler.go
+++ b/pkg/apscheduler/apscheduler.go
@@ -109,6 +109,8 @@
 	lastCordon int
 	// avoided workers will be evacuated soon, so long-running tasks are placed elsewhere if possible.
 	avoided map[apjob.WorkerID]bool
+	// reservedSince is when each step that workers were reserved for in the last Plan got its reservation.
+	reservedSince map[apjob.StepID]time.Time
 	// queuedRecords lists the jobs whose progress is to be stored in the next batches, oldest first.
 	queuedRecords []apjob.ID
 	// deferredRecords lists the jobs whose only unstored changes are run ends that nothing depends on,
--- a/pkg/apscheduler/evacuate.go
+++ b/pkg/apscheduler/evacuate.go
@@ -31,21 +31,20 @@
 // tasks run to completion. A task is stopped only when another worker has room for it and, unless its worker
 // is draining, only within the step's MaxUnavailable.
 //
-// It returns the eligible workers without those it reserves for tasks that found no room: during a burst,
-// smaller tasks would otherwise take all freed capacity and the worker would never become empty. Cordoned
-// workers are evacuated in the order in which they were cordoned, so that the first ones are empty soon.
-func (s *Shard) evacuate(eligible []*worker, now time.Time) []*worker {
-	reservable := (len(eligible) + reserveDivisor - 1) / reserveDivisor
+// It reserves workers for tasks that found no room: during a burst, smaller tasks would otherwise take all freed
+// capacity and the worker would never become empty. Cordoned workers are evacuated in the order in which they were
+// cordoned, so that the first ones are empty soon.
+func (s *Shard) evacuate(pool *workerPool, now time.Time) {
+	reservable := (len(pool.open) + reserveDivisor - 1) / reserveDivisor
 	for _, w := range s.workersToEvacuate() {
 		for _, run := range w.longRunningRuns(s) {
-			reserved := s.evacuateRun(w, run, eligible, now)
+			reserved := s.evacuateRun(w, run, pool.open, now)
 			if reserved != nil && reservable > 0 {
 				reservable--
-				eligible = without(eligible, reserved)
+				s.reserve(pool, run.Task.StepID(), []*worker{reserved}, now)
 			}
 		}
 	}
-	return eligible
 }
 
 // workersToEvacuate returns the draining and cordoned workers that have runs: draining ones first, then
@@ -86,8 +85,8 @@
 }
 
 // evacuateRun stops a run of a long-running task if it can be moved now. If no worker has room for the task,
-// it returns the worker to reserve for it.
-func (s *Shard) evacuateRun(w *worker, run apjob.RunKey, eligible []*worker, now time.Time) *worker {
+// it returns the open worker to reserve for it.
+func (s *Shard) evacuateRun(w *worker, run apjob.RunKey, open []*worker, now time.Time) *worker {
 	t, step := s.task(run.Task)
 	j := s.jobs[run.Task.Job]
 	tasks := j.occurrence(run.Task.Occurrence).Steps[run.Task.Step]
@@ -98,10 +97,11 @@
 		s.logEvacuationWait(w, run, waitTasksUnavailable, unavailable)
 		return nil
 	}
-	placement := s.placementOf(j, run.Task.Occurrence, run.Task.Step, tasks)
-	if s.bestWorker(step, placement, eligible, nil) == nil {
-		s.logEvacuationWait(w, run, waitNoRoom, len(eligible))
-		return s.mostFreeWorker(step, placement, eligible)
+	q := &search{id: run.Task.StepID(), step: step, placement: s.placementOf(j, run.Task.Occurrence, run.Task.Step, tasks)}
+	possible := s.withoutDenied(q.id, open)
+	if s.bestWorker(q, s.workersWithTickets(j, q, 1, possible, now), possible, now) == nil {
+		s.logEvacuationWait(w, run, waitNoRoom, len(open))
+		return s.mostFreeWorker(q, possible)
 	}
 	s.logEvent("TaskEvacuated", run, w.info.ID, map[string]any{"Draining": w.info.Draining, "MaxUnavailable": step.MaxUnavailable})
 	s.stopTask(run.Task, t, now)
--- a/pkg/apscheduler/job.go
+++ b/pkg/apscheduler/job.go
@@ -39,8 +39,10 @@
 	storedChanges uint64
 	// plannedRuns belong to the next record of the job: once it is stored, the runs may be started.
 	plannedRuns []plannedRun
-	// failedOn lists the workers on which a task failed.
-	failedOn map[apjob.TaskID][]apjob.WorkerID
+	// failures tells where tasks have failed.
+	failures map[apjob.TaskID]taskFailures
+	// waits is when each step with waiting tasks was first tried.
+	waits map[apjob.StepID]time.Time
 }
 
 func (j *job) state() apjob.State { return j.progress.State }
@@ -281,7 +283,7 @@
 	if checkpoint != "" {
 		t.Checkpoint = checkpoint
 	}
-	s.countEnd(j, t, run, workerID, reason)
+	s.countEnd(j, t, run, workerID, reason, now)
 	j.recountTasks()
 	s.queueEndRecord(j, run.Task, reason, now)
 	s.finishIfOver(j, run.Task, reason, now)
@@ -290,7 +292,7 @@
 
 // countEnd counts a successful or failed run. The next run of a long-running task has another number, so that one that
 // succeeded is never started again.
-func (s *Shard) countEnd(j *job, t *apjob.Task, run apjob.RunKey, workerID apjob.WorkerID, reason apworker.EndReason) {
+func (s *Shard) countEnd(j *job, t *apjob.Task, run apjob.RunKey, workerID apjob.WorkerID, reason apworker.EndReason, now time.Time) {
 	switch step := &j.def.Steps[run.Task.Step]; reason {
 	case apworker.EndDone:
 		t.Done = !step.LongRunning
@@ -299,10 +301,7 @@
 		}
 	case apworker.EndFailed:
 		t.Failed++
-		if j.failedOn == nil {
-			j.failedOn = make(map[apjob.TaskID][]apjob.WorkerID)
-		}
-		j.failedOn[run.Task] = append(j.failedOn[run.Task], workerID)
+		j.addFailure(run.Task, workerID, now)
 	default:
 		return
 	}
--- a/pkg/apscheduler/place.go
+++ b/pkg/apscheduler/place.go
@@ -9,108 +9,19 @@
 	"auburnport/pkg/apjob"
 )
 
-// reserveWorker returns the eligible workers without the one with the most free CPU among those that could run the
-// candidate's long-running task once their shorter tasks have ended. Keeping smaller tasks off that worker lets
-// enough capacity become free for the task.
-func (s *Shard) reserveWorker(eligible []*worker, c *candidate) []*worker {
-	step := &c.job.def.Steps[c.step]
-	placement := s.placementOf(c.job, c.occurrence, c.step, c.job.occurrence(c.occurrence).Steps[c.step])
-	return without(eligible, s.mostFreeWorker(step, placement, eligible))
-}
-
-// reserveGangWorkers returns the eligible workers without those reserved for a gang: as many as the gang needs
-// once the shorter tasks on them have ended, those with the most free CPU first. It reserves none if all of
-// them together are too small.
-func (s *Shard) reserveGangWorkers(eligible []*worker, c *candidate) []*worker {
-	step := &c.job.def.Steps[c.step]
-	placement := s.placementOf(c.job, c.occurrence, c.step, c.job.occurrence(c.occurrence).Steps[c.step])
-	byRoom := slices.Clone(eligible)
-	slices.SortFunc(byRoom, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(a.used.CPU-a.info.Capacity.CPU, b.used.CPU-b.info.Capacity.CPU), cmp.Compare(a.info.ID, b.info.ID))
-	})
-	rest := eligible
-	for missing := step.Count; missing > 0; {
-		if len(byRoom) == 0 {
-			return eligible
-		}
-		w := byRoom[0]
-		byRoom = byRoom[1:]
-		if n := s.countFitting(w, step, placement); n > 0 {
-			missing -= n
-			rest = without(rest, w)
-		}
-	}
-	return rest
-}
-
-// countFitting counts the tasks of a step that would fit on a worker once all but its long-running tasks have
-// ended.
-func (s *Shard) countFitting(w *worker, step *apjob.Step, placement *stepPlacement) int {
-	if !constraintsAllow(step, placement, w) {
-		return 0
-	}
-	room := w.info.Capacity
-	for run, o := range w.occupants {
-		if _, other := s.task(run.Task); other != nil && other.LongRunning {
-			room = room.Sub(o.need)
-		}
-	}
-	n := 0
-	for need := step.Reserved(); n < step.Count && room.Fits(need); n++ {
-		room = room.Sub(need)
-	}
-	if step.MaxPerWorker > 0 {
-		n = min(n, step.MaxPerWorker)
-	}
-	return n
-}
-
-// mostFreeWorker returns the worker with the most free CPU among those that could take a task of the step once
-// their shorter tasks have ended, or nil.
-func (s *Shard) mostFreeWorker(step *apjob.Step, placement *stepPlacement, eligible []*worker) *worker {
-	var best *worker
-	for _, w := range eligible {
-		if s.countFitting(w, step, placement) == 0 {
-			continue
-		}
-		if best == nil || w.info.Capacity.CPU-w.used.CPU > best.info.Capacity.CPU-best.used.CPU {
-			best = w
-		}
-	}
-	return best
-}
-
-// without returns the workers except w.
-func without(eligible []*worker, w *worker) []*worker {
-	i := slices.Index(eligible, w)
-	if i < 0 {
-		return eligible
-	}
-	return slices.Concat(eligible[:i], eligible[i+1:])
-}
-
-// constraintsAllow reports whether a step's label and its MaxPerWorker allow another task on a worker.
-func constraintsAllow(step *apjob.Step, placement *stepPlacement, w *worker) bool {
-	if step.Label != "" && !slices.Contains(w.info.Labels, step.Label) {
-		return false
-	}
-	return step.MaxPerWorker == 0 || placement.tasksPerWorker[w.info.ID] < step.MaxPerWorker
-}
-
 // placeStep assigns the waiting tasks of a step to workers, for a gang either all of them or none. It reports
 // whether no task is left waiting.
-func (s *Shard) placeStep(c *candidate, eligible []*worker, unplaceable *unplaceableNeeds, now time.Time) bool {
+func (s *Shard) placeStep(c *candidate, pool *workerPool, now time.Time) bool {
 	j := c.job
 	step := &j.def.Steps[c.step]
-	if !unplaceable.fitsAny(eligible, step.Reserved()) {
+	if !s.mayFit(pool, j, step) {
 		return false
 	}
 	tasks := j.occurrence(c.occurrence).Steps[c.step]
-	if s.queues[j.def.Queue].NeedsTicket {
-		id := apjob.StepID{Job: j.def.ID, Occurrence: c.occurrence, Step: c.step}
-		eligible = s.workersWithTickets(id, countWaiting(tasks), eligible, now)
-	}
-	chosen, complete := s.chooseWorkers(c, step, tasks, eligible)
+	q := &search{id: c.id(), step: step, placement: s.placementOf(j, c.occurrence, c.step, tasks), waitsSince: j.waitsSince(c.id(), now)}
+	q.failedOn = s.failuresOf(c, tasks)
+	possible := s.possibleWorkers(q, pool, now)
+	chosen, complete := s.chooseWorkers(c, q, tasks, possible, now)
 	if step.Gang {
 		if !complete || len(chosen) < len(tasks) {
 			return false
@@ -121,6 +32,9 @@
 		id := apjob.TaskID{Job: j.def.ID, Occurrence: c.occurrence, Step: c.step, Index: a.taskIndex}
 		s.assignTask(j, id, &tasks[a.taskIndex], step, a.worker, now)
 	}
+	if complete {
+		delete(j.waits, q.id)
+	}
 	return complete
 }
 
@@ -140,30 +54,30 @@
 	worker    *worker
 }
 
-// chooseWorkers chooses workers for the waiting tasks of a step, and reports whether it found one for each.
-func (s *Shard) chooseWorkers(c *candidate, step *apjob.Step, tasks []apjob.Task, eligible []*worker) ([]assignment, bool) {
-	j := c.job
-	placement := s.placementOf(j, c.occurrence, c.step, tasks)
+// chooseWorkers chooses from the possible workers for the waiting tasks of a step, and reports whether it found one for each.
+func (s *Shard) chooseWorkers(c *candidate, q *search, tasks []apjob.Task, possible []*worker, now time.Time) ([]assignment, bool) {
+	eligible := s.workersWithTickets(c.job, q, countWaiting(tasks), possible, now)
 	var chosen []assignment
 	complete := true
 	for k := range tasks {
 		if tasks[k].Done || tasks[k].Worker != "" {
 			continue
 		}
-		w := s.bestWorker(step, placement, eligible, j.failedOn[apjob.TaskID{Job: j.def.ID, Occurrence: c.occurrence, Step: c.step, Index: k}])
+		q.setPatience(c.job.failures[apjob.TaskID{Job: q.id.Job, Occurrence: q.id.Occurrence, Step: q.id.Step, Index: k}])
+		w := s.bestWorker(q, eligible, possible, now)
 		if w == nil {
 			complete = false
-			if len(j.failedOn) == 0 {
+			if len(c.job.failures) == 0 {
 				break
 			}
 			continue
 		}
-		w.used = w.used.Add(step.Reserved())
-		placement.add(w)
+		w.used = w.used.Add(q.step.Reserved())
+		q.placement.add(w)
 		chosen = append(chosen, assignment{taskIndex: k, worker: w})
 	}
 	for _, a := range chosen {
-		a.worker.used = a.worker.used.Sub(step.Reserved())
+		a.worker.used = a.worker.used.Sub(q.step.Reserved())
 	}
 	return chosen, complete
 }
@@ -180,17 +94,20 @@
 	}
 }
 
-// unplaceableNeeds caches the resource needs that fitted on no eligible worker. Free capacity only shrinks
+// unplaceableNeeds caches the resource needs that fitted on none of the workers. Free capacity only shrinks
 // during one Plan, so anything that needs at least as much can't fit either. This avoids searching all workers
 // for each of the hundreds of steps that wait on a full pool.
-type unplaceableNeeds struct{ failed []apjob.Resources }
+type unplaceableNeeds struct {
+	workers []*worker
+	failed  []apjob.Resources
+}
 
 // fitsAny reports whether a need fits on one of the workers.
-func (u *unplaceableNeeds) fitsAny(eligible []*worker, need apjob.Resources) bool {
+func (u *unplaceableNeeds) fitsAny(need apjob.Resources) bool {
 	if slices.ContainsFunc(u.failed, need.Fits) {
 		return false
 	}
-	if slices.ContainsFunc(eligible, func(w *worker) bool { return w.info.Capacity.Sub(w.used).Fits(need) }) {
+	if slices.ContainsFunc(u.workers, func(w *worker) bool { return w.info.Capacity.Sub(w.used).Fits(need) }) {
 		return true
 	}
 	u.failed = append(slices.DeleteFunc(u.failed, func(larger apjob.Resources) bool { return larger.Fits(need) }), need)
@@ -256,37 +173,6 @@
 	}
 }
 
-// bestWorker returns the worker with the highest score that has room for a task of the step, or nil. Workers in
-// avoid, on which the task has failed, are used only as a last resort.
-func (s *Shard) bestWorker(step *apjob.Step, placement *stepPlacement, eligible []*worker, avoid []apjob.WorkerID) *worker {
-	var best *worker
-	var bestScore float64
-	need := step.Reserved()
-	for _, w := range eligible {
-		if !w.info.Capacity.Sub(w.used).Fits(need) || !constraintsAllow(step, placement, w) {
-			continue
-		}
-		score := s.placementScore(step, placement, w)
-		if s.latencyConflict(step, w) {
-			if step.Backfill {
-				continue
-			}
-			score -= avoidPenalty
-		}
-		if slices.Contains(avoid, w.info.ID) {
-			// A long-running task may fail for reasons of its own, and there may be no other worker for it.
-			if !step.LongRunning && len(eligible) > len(avoid) {
-				continue
-			}
-			score -= avoidPenalty
-		}
-		if best == nil || score > bestScore {
-			best, bestScore = w, score
-		}
-	}
-	return best
-}
-
 // placementScore rates a worker for a task of the step. Tasks are packed onto busy workers so that large free
 // blocks remain for large tasks. Long-running tasks are spread over racks so that the loss of one rack affects
 // few of them.
@@ -332,9 +218,5 @@
 	return false
 }
 
-// avoidPenalty ranks a worker below all others: one on which the task failed, or on which it would conflict with
-// serving or backfill tasks.
-const avoidPenalty = 100
-
 // rackBonus is the score for a preferred rack; it outweighs any difference in utilisation.
 const rackBonus = 10
--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -26,6 +26,10 @@
 	priority int
 }
 
+func (c *candidate) id() apjob.StepID {
+	return apjob.StepID{Job: c.job.def.ID, Occurrence: c.occurrence, Step: c.step}
+}
+
 // urgency is the scheduling class of a waiting step. Lower values are placed first.
 type urgency uint8
 
@@ -77,29 +81,20 @@
 	s.queueDueRecords(now)
 	s.throttleBackfill()
 	s.addDueOccurrences(wall)
-	eligible := s.eligibleWorkers(now)
-	eligible = s.evacuate(eligible, now)
-	var unplaceable unplaceableNeeds
-	candidates := s.candidates(eligible, &unplaceable, now)
+	pool := s.newPool(now)
+	s.evacuate(pool, now)
+	candidates := s.candidates(pool, now)
 	if len(candidates) == 0 {
 		return
 	}
 	promoteStarvedGang(candidates)
 	slices.SortFunc(candidates, compareCandidates)
 	for i := range candidates {
-		if len(eligible) == 0 {
+		if pool.empty() {
 			return
 		}
-		c := &candidates[i]
-		if s.placeStep(c, eligible, &unplaceable, now) {
-			continue
-		}
-		switch c.urgency {
-		case urgencyLongRunning:
-			eligible = s.reserveWorker(eligible, c)
-		case urgencyStarvedGang:
-			eligible = s.reserveGangWorkers(eligible, c)
-		default:
+		if c := &candidates[i]; !s.placeStep(c, pool, now) {
+			s.reserveWorkers(pool, c, now)
 		}
 	}
 }
@@ -180,12 +175,12 @@
 }
 
 // candidates returns the steps with tasks that are ready to start. It skips jobs none of whose steps fits on any
-// eligible worker, which are most jobs on a full pool with a backlog. Jobs with long-running steps or gangs are
+// worker of the pool, which are most jobs on a full pool with a backlog. Jobs with long-running steps or gangs are
 // always considered, because workers are reserved for them.
-func (s *Shard) candidates(eligible []*worker, unplaceable *unplaceableNeeds, now time.Time) []candidate {
+func (s *Shard) candidates(pool *workerPool, now time.Time) []candidate {
 	var candidates []candidate
 	for _, j := range s.active {
-		if j.waitingTasks == 0 || !mayBePlaced(j, eligible, unplaceable) {
+		if j.waitingTasks == 0 || !s.mayBePlaced(j, pool) {
 			continue
 		}
 		for i := range j.progress.Occurrences {
@@ -214,33 +209,24 @@
 }
 
 // mayBePlaced reports whether a step of the job fits on a worker or may have workers reserved for it.
-func mayBePlaced(j *job, eligible []*worker, unplaceable *unplaceableNeeds) bool {
+func (s *Shard) mayBePlaced(j *job, pool *workerPool) bool {
 	for n := range j.def.Steps {
 		step := &j.def.Steps[n]
-		if step.LongRunning || step.Gang || unplaceable.fitsAny(eligible, step.Reserved()) {
+		if step.LongRunning || step.Gang || s.mayFit(pool, j, step) {
 			return true
 		}
 	}
 	return false
 }
 
-// eligibleWorkers returns the workers that may get new runs now, sorted by ID. Workers with runs of unknown size
-// or in their delay after a refused start are left out.
-func (s *Shard) eligibleWorkers(now time.Time) []*worker {
-	all := s.workersByID()
-	eligible := make([]*worker, 0, len(all))
-	for _, w := range all {
-		if s.usable(w, now) && w.unknownRuns == 0 && !now.Before(w.retryAt) {
-			eligible = append(eligible, w)
-		}
-	}
-	return eligible
-}
-
 // usable reports whether a worker is registered, responsive and not quarantined, draining or cordoned.
 func (s *Shard) usable(w *worker, now time.Time) bool {
-	return w.registered && w.hasReported && !s.drainingOrCordoned(w) &&
-		now.Sub(w.lastAnswerAt) <= s.options.MaxSilence && !w.health.quarantined(now)
+	return s.inTouch(w, now) && !w.health.quarantined(now)
+}
+
+// inTouch reports whether a worker is registered, responsive and not draining or cordoned.
+func (s *Shard) inTouch(w *worker, now time.Time) bool {
+	return w.registered && w.hasReported && !s.drainingOrCordoned(w) && now.Sub(w.lastAnswerAt) <= s.options.MaxSilence
 }
 
 // Weights for placing long-running tasks, in descending order of importance.
--- a/pkg/apscheduler/report.go
+++ b/pkg/apscheduler/report.go
@@ -230,6 +230,8 @@
 		w.retryAt = now.Add(s.options.MaxResend)
 	case apcode.WorkerGone, apcode.WorkerChanged:
 		w.lastAnswerAt = time.Time{}
+	case apcode.BadTicket:
+		s.dropTicket(run.Task.StepID(), w.info.ID)
 	default:
 	}
 	s.taskEnded(run, w.info.ID, apworker.EndStopped, o.checkpoint, now)
--- a/pkg/apscheduler/restart.go
+++ b/pkg/apscheduler/restart.go
@@ -23,6 +23,7 @@
 		o.sentAt, o.answeredAt, o.attempts = time.Time{}, time.Time{}, 0
 		o.outcomeUnknown, o.stopAcknowledged = true, false
 	}
+	s.dropTickets(w.info.ID)
 	w.unknownRuns = 0
 	w.lastAppliedEnd, w.pendingEnds = 0, nil
 	w.clock, w.leaseEnd = 0, 0
--- a/pkg/apscheduler/throttle.go
+++ b/pkg/apscheduler/throttle.go
@@ -30,6 +30,17 @@
 	return false
 }
 
+// countBackfill counts the backfill tasks on a worker.
+func (s *Shard) countBackfill(w *worker) int {
+	n := 0
+	for run := range w.occupants {
+		if _, step := s.task(run.Task); step != nil && step.Backfill {
+			n++
+		}
+	}
+	return n
+}
+
 // throttleBackfill pauses backfill tasks on workers where the latency of a serving task approaches its target,
 // and resumes them once it has dropped.
 func (s *Shard) throttleBackfill() {
