Scheduler: start nothing by the registration of a worker's earlier process

Cause: a report changed only what was known of the process. The registration stayed in force whatever its start time.

The change: once a report shows that the registration in force is that of an earlier process (its start time is before the reported one, or that of a process that reports say has been followed), the worker gets no new runs until a registration of the present one is known. Runs that it lists stay known, it is polled and its lease is kept up. A registration of a later process, which may come before the first report, holds back the starts that were not sent until that report, as a failed poll does.

No bound of our own on a late registration: the platform removes the entry of a worker that doesn't renew it, which ends its use in any case, and while the store is down no assignment can be stored.

The drawn worlds of TestEveryTaskIsPlacedWhereItCanRun now have workers that are reborn as another kind, with tickets valid for one life; no run may start where label or capacity forbid it.

--- a/pkg/apscheduler/place_property_test.go
+++ b/pkg/apscheduler/place_property_test.go
@@ -34,8 +34,11 @@
 	}
 }
 
-// checkPlaced returns which task has waited for too long, or "". A waiting task is a step's, or a whole gang.
+// checkPlaced returns which task has waited for too long or runs where it can't, or "". A waiting task is a step's, or a whole gang.
 func (w *world) checkPlaced() string {
+	if w.problem != "" {
+		return w.problem
+	}
 	for _, j := range w.jobs {
 		for n := range j.def.Steps {
 			step := &j.def.Steps[n]
@@ -164,7 +167,7 @@
 // countTasks counts the tasks of a step that a worker could run in an amount of room.
 func (w *world) countTasks(j *drawnJob, id apjob.TaskID, d *drawnWorker, room apjob.Resources) int {
 	step := &j.def.Steps[id.Step]
-	inTouch := !w.isSilent(d) && !d.info.Draining && !w.isCordoned(d.info.ID)
+	inTouch := !w.isSilent(d) && w.now.After(d.registeredAt) && !d.info.Draining && !w.isCordoned(d.info.ID)
 	if !inTouch || j.denied[d.info.ID] || step.Label != "" && step.Label != d.info.Labels[0] {
 		return 0
 	}
--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -224,9 +224,9 @@
 	return s.inTouch(w, now) && !w.health.quarantined(now)
 }
 
-// inTouch reports whether a worker is registered, responsive and not draining or cordoned.
+// inTouch reports whether a worker is registered as what it is now, responsive and not draining or cordoned.
 func (s *Shard) inTouch(w *worker, now time.Time) bool {
-	return w.registered && w.hasReported && !s.drainingOrCordoned(w) && now.Sub(w.lastAnswerAt) <= s.options.MaxSilence
+	return w.registered && w.hasReported && !w.registrationOutdated() && !s.drainingOrCordoned(w) && now.Sub(w.lastAnswerAt) <= s.options.MaxSilence
 }
 
 // Weights for placing long-running tasks, in descending order of importance.
--- a/pkg/apscheduler/report.go
+++ b/pkg/apscheduler/report.go
@@ -55,6 +55,7 @@
 	}
 	restarted := !w.startedAt.IsZero() && !report.StartedAt.Equal(w.startedAt)
 	if restarted {
+		w.endedStart = w.startedAt
 		reported := make(map[apjob.RunKey]bool, len(report.Running)+len(report.Ends))
 		for _, status := range report.Running {
 			reported[status.Run] = true
--- a/pkg/apscheduler/worker.go
+++ b/pkg/apscheduler/worker.go
@@ -82,6 +82,8 @@
 	registered bool
 	// startedAt is the start time in the last report that had one; zero if there was none.
 	startedAt time.Time
+	// endedStart is the start time of the last process that was followed by another one, as reports tell; zero if there was none.
+	endedStart time.Time
 	// staleInfo is the last registration that named an earlier start time. It is in force if a report has that one.
 	staleInfo apworker.Info
 	// fenceRaiseDue means that the worker has or may have restarted and orders to its earlier process may have had the newest
@@ -164,7 +166,8 @@
 
 // Register adds a worker or updates its registration. A registration with an earlier start time than that of the process
 // that has reported was written late, or the worker's wall clock has gone back: it takes effect when that process
-// reports. That of a later one is no proof of a restart either.
+// reports. That of a later one is no proof of a restart either, but until the next report no run is started that was
+// meant for the process that has reported: the worker may be of another kind now.
 func (s *Shard) Register(info apworker.Info, now time.Time) {
 	w := s.ensureWorker(info.ID, now)
 	if !info.StartedAt.IsZero() && info.StartedAt.Before(w.startedAt) {
@@ -172,6 +175,9 @@
 		s.logEvent("RegistrationStale", apjob.RunKey{}, info.ID, map[string]any{"OlderByMs": w.startedAt.Sub(info.StartedAt).Milliseconds()})
 		return
 	}
+	if w.hasReported && info.StartedAt.After(w.startedAt) && !w.startedAt.IsZero() && !info.StartedAt.Equal(w.info.StartedAt) {
+		s.PollFailed(info.ID)
+	}
 	startsDraining := info.Draining && !w.info.Draining
 	w.info = info
 	w.registered = true
@@ -180,6 +186,16 @@
 	}
 }
 
+// registrationOutdated reports whether the registration in force is that of an earlier process than the one that reports. Its
+// labels and its capacity say nothing about the present one, so the worker gets no new runs until that has registered. One whose
+// registration or reports have no start time can't be told apart.
+func (w *worker) registrationOutdated() bool {
+	if w.info.StartedAt.IsZero() || w.startedAt.IsZero() {
+		return false
+	}
+	return w.info.StartedAt.Before(w.startedAt) || w.info.StartedAt.Equal(w.endedStart)
+}
+
 // Unregister records that a worker's registration was removed. Its runs are kept until they have certainly ended.
 func (s *Shard) Unregister(id apjob.WorkerID) {
 	if w, ok := s.workers[id]; ok && w.registered {
--- a/pkg/apscheduler/world_test.go
+++ b/pkg/apscheduler/world_test.go
@@ -30,6 +30,8 @@
 	pending []drawnAnswer
 	// log holds the shard's events.
 	log []string
+	// problem tells of a run on a worker that isn't of its kind, "" while there is none.
+	problem string
 	// cordoned is the worker that is cordoned from cordonFrom to cordonTo.
 	cordoned             apjob.WorkerID
 	cordonFrom, cordonTo time.Time
@@ -46,6 +48,10 @@
 	// The worker is silent from silentFrom to silentTo, and draining from drainFrom on.
 	silentFrom, silentTo, drainFrom time.Time
 	quarantinedUntil                time.Time
+	// rebornAt is when the worker crashes and starts again under its ID as another kind, next. Its registration stays that of the
+	// earlier life until registeredAt.
+	rebornAt, registeredAt time.Time
+	next, registered       apworker.Info
 }
 
 // drawnRun is a run that holds room on a worker, from its placement to the report of its end.
@@ -116,9 +122,27 @@
 		d.silentFrom = start.Add(w.between(0, worldLength))
 		d.silentTo = d.silentFrom.Add([]time.Duration{time.Second, 9 * time.Second}[w.random.IntN(2)])
 	}
+	d.info.StartedAt, d.registered = start, d.info
+	if w.chance(0.2) {
+		d.rebornAt = start.Add(w.between(0, worldLength))
+		d.next = d.info
+		d.next.StartedAt = d.rebornAt
+		d.next.Capacity.CPU = 4000 * int64(1+w.random.IntN(3))
+		d.next.Labels = []string{[]string{"a", "b"}[w.random.IntN(2)], string(info.Rack)}
+	}
 	return d
 }
 
+// revive lets a worker crash and start again, at a time at which its next report tells of that.
+func (w *world) revive(d *drawnWorker) {
+	for run := range d.runs {
+		w.release(d, run)
+	}
+	d.registered, d.info, d.rebornAt = d.info, d.next, time.Time{}
+	d.registeredAt = w.now.Add(w.between(0, time.Second))
+	d.ends, d.lastEnd = nil, 0
+}
+
 func (w *world) drawJob(n int) *drawnJob {
 	j := &drawnJob{
 		def:      &apjob.Job{ID: apjob.ID(fmt.Sprintf("%016x", n)), Queue: "q", Submitted: start},
@@ -213,7 +237,7 @@
 		answer := apworker.Advice{Tickets: make(map[apjob.WorkerID]string), ValidFor: 2 * time.Second}
 		for _, id := range a.question.Workers {
 			if !w.job(a.question.Step.Job).denied[id] {
-				answer.Tickets[id] = "ticket"
+				answer.Tickets[id] = w.ticket(id)
 			}
 		}
 		w.shard.ApplyAdvice(a.question, answer, nil, w.now)
@@ -221,6 +245,9 @@
 	})
 }
 
+// ticket returns a ticket, which is valid for one life of a worker.
+func (w *world) ticket(id apjob.WorkerID) string { return w.worker(id).info.StartedAt.String() }
+
 func (w *world) job(id apjob.ID) *drawnJob {
 	for _, j := range w.jobs {
 		if j.def.ID == id {
@@ -242,13 +269,19 @@
 // report ends the runs that are over, and passes the worker's report to the shard.
 func (w *world) report(d *drawnWorker) {
 	d.info.Draining = !d.drainFrom.IsZero() && !w.now.Before(d.drainFrom)
-	w.shard.Register(d.info, w.now)
+	if !d.rebornAt.IsZero() && !w.now.Before(d.rebornAt) && !w.isSilent(d) {
+		w.revive(d)
+	}
+	if !w.now.Before(d.registeredAt) {
+		d.registered = d.info
+	}
+	w.shard.Register(d.registered, w.now)
 	if w.isSilent(d) {
 		return
 	}
 	back := w.now.Sub(d.silentTo)
 	lapsed := back >= 0 && back < worldTick && d.silentTo.Sub(d.silentFrom) > 5*time.Second
-	report := apworker.Report{Clock: w.now.Sub(start) + time.Second, StartedAt: start}
+	report := apworker.Report{Clock: w.now.Sub(d.info.StartedAt) + time.Second, StartedAt: d.info.StartedAt}
 	for _, run := range sortedRuns(d) {
 		r := d.runs[run]
 		switch {
@@ -339,7 +372,7 @@
 func (w *world) carryOut(order apscheduler.Order) {
 	switch o := order.(type) {
 	case apscheduler.Start:
-		w.startRun(w.worker(o.To.ID), o.Order.Run)
+		w.startRun(w.worker(o.To.ID), o.Order)
 	case apscheduler.Stop:
 		d := w.worker(o.To.ID)
 		if w.isSilent(d) {
@@ -354,20 +387,23 @@
 	}
 }
 
-func (w *world) startRun(d *drawnWorker, run apjob.RunKey) {
-	r := d.runs[run]
+func (w *world) startRun(d *drawnWorker, order apworker.StartOrder) {
+	run := order.Run
+	r, step := d.runs[run], w.step(run.Task)
 	if r == nil || w.isSilent(d) {
 		w.shard.OrderAnswered(d.info.ID, run, false, apcode.Errorf(apcode.WorkerSilent, "silent"), w.now)
 		return
 	}
-	if !r.began && w.chance(0.03) {
+	if code := w.refusal(d, order); !r.began && code != apcode.OK {
 		w.release(d, run)
-		w.shard.OrderAnswered(d.info.ID, run, false, apcode.Errorf(apcode.TaskDoesNotFit, "no room"), w.now)
+		w.shard.OrderAnswered(d.info.ID, run, false, apcode.Errorf(code, "refused"), w.now)
 		return
 	}
 	w.shard.OrderAnswered(d.info.ID, run, false, nil, w.now)
 	r.began = true
-	step := w.step(run.Task)
+	if step.Label != "" && step.Label != d.info.Labels[0] || !w.freeRoom(d, false).Fits(apjob.Resources{}) {
+		w.problem = fmt.Sprintf("%v starts on %+v, which runs %v", run, d.info, sortedRuns(d))
+	}
 	switch {
 	case w.chance(d.failing):
 		r.endsAt, r.reason = w.now.Add(w.between(0, w.job(run.Task.Job).lastFor)), apworker.EndFailed
@@ -376,3 +412,15 @@
 	default:
 	}
 }
+
+// refusal returns the code with which a worker refuses a start, OK if it doesn't.
+func (w *world) refusal(d *drawnWorker, order apworker.StartOrder) apcode.Code {
+	switch {
+	case w.job(order.Run.Task.Job).def.Queue == advised && order.Ticket != w.ticket(d.info.ID):
+		return apcode.BadTicket
+	case w.chance(0.03):
+		return apcode.TaskDoesNotFit
+	default:
+		return apcode.OK
+	}
+}
