Jobs: a cancel that was acknowledged holds, also against a late write of the submission

Cause: the cancel of a job that isn't stored left nothing behind, so the condition of the submission's write still held when the store carried it out.

Evidence, on the code before: TestCancelledJobIsNotStoredByALateWriteOfItsSubmission: the cancelled job is stored TestCancelIsAnsweredOnlyOnceItsTombstoneIsKnown: no record (location absent) TestCancelTakesAnotherLeaseWhenItsOwnIsLost: no record TestCancelsOfUnknownJobsAreBounded: 0 tombstones, 0 refused

The change: such a cancel stores a tombstone in the place of the job's location, if location, job and progress are absent, and is answered only when that is known to be stored. The store's own condition then refuses the late write, also of an entry that knows the queue under another service. A submission that meets a tombstone is refused (6015, 410). A job that turns up meanwhile is cancelled as usual. Tombstones are attached to leases of 60 s, a new one each 30 s, so the store removes them.

Cost: one write for a cancel of an unknown job, none more for a known one (TestTombstoneShowsNoJobAndCostsOneWrite, TestJobTakesOneWriteAndItsUsualPathNoFurtherRead), and one lease each 30 s for an entry that stores any. Bound: 64 at once and 4 a second for each entry, so at most 304; beyond that 429 (6016) and nothing is stored. TestCancelsOfUnknownJobsAreBounded cancels unknown jobs in a loop, 100 a second for 200 s: the bound holds, other requests don't wait, and nothing stays.

--- a/internal/apintake/apintake.go
+++ b/internal/apintake/apintake.go
@@ -23,11 +23,20 @@
 	WaitingCacheTTL time.Duration
 	// RetryDelay is the delay between retries of a submission.
 	RetryDelay time.Duration
+	// TombstoneTTL is the duration of the leases of tombstones.
+	TombstoneTTL time.Duration
+	// UnknownCancelRate and UnknownCancelBurst bound the cancels of jobs that aren't stored: so many a second, and so many
+	// at once.
+	UnknownCancelRate  float64
+	UnknownCancelBurst int
 }
 
 // DefaultOptions returns the default options.
 func DefaultOptions() Options {
-	return Options{MaxSettingsAge: 1800 * time.Millisecond, WaitingCacheTTL: 500 * time.Millisecond, RetryDelay: 30 * time.Millisecond}
+	return Options{
+		MaxSettingsAge: 1800 * time.Millisecond, WaitingCacheTTL: 500 * time.Millisecond, RetryDelay: 30 * time.Millisecond,
+		TombstoneTTL: time.Minute, UnknownCancelRate: 4, UnknownCancelBurst: 64,
+	}
 }
 
 // Log records the outcome of a request.
@@ -42,6 +51,7 @@
 	// confirmedAt is when the settings were last confirmed as current.
 	confirmedAt atomic.Pointer[time.Time]
 	leaving     atomic.Bool
+	tombstones  *tombstones
 
 	mu sync.Mutex
 	// waiting holds the number of waiting jobs by queue, as read at waitingReadAt.
@@ -56,7 +66,7 @@
 
 // New returns an intake that refuses callers until settings are applied and confirmed.
 func New(store apstore.TransactionalStore, options Options, log Log) *Intake {
-	return &Intake{store: store, options: options, log: log}
+	return &Intake{store: store, options: options, log: log, tombstones: newTombstones(options)}
 }
 
 // ApplySettings replaces the settings unless the current ones are at least as new, and reports whether it did.
--- a/internal/apintake/jobs.go
+++ b/internal/apintake/jobs.go
@@ -13,7 +13,8 @@
 )
 
 // Submit stores a job with the present settings of its queue. It is idempotent: it also succeeds when the job is already stored or has ended, in the shard of
-// whatever service. Errors: StoreUnavailable (not stored), JobUnsettled (may be stored).
+// whatever service. Errors: StoreUnavailable (not stored), JobUnsettled (may be stored), JobCancelled (cancelled before, never
+// stored).
 func (i *Intake) Submit(ctx context.Context, queue apqueue.Queue, job *apjob.Job) error {
 	err := i.submit(ctx, queue, job)
 	i.log("Submit", job.ID, err, map[string]any{"Queue": queue.Name})
@@ -34,9 +35,14 @@
 	}
 	maybeStored := false
 	for {
-		_, err := i.store.Commit(ctx, transaction)
+		result, err := i.store.Commit(ctx, transaction)
 		switch apcode.Of(err) {
-		case apcode.OK, apcode.StoreConflict:
+		case apcode.OK:
+			return nil
+		case apcode.StoreConflict:
+			if tombstoneIn(result.Current, locationKey) {
+				return errCancelled(job.ID)
+			}
 			return nil
 		case apcode.StoreUnknown:
 			maybeStored = true
@@ -60,6 +66,9 @@
 		state, err = i.statusIn(ctx, shard, id)
 		return err
 	})
+	if apcode.Is(err, apcode.JobCancelled) {
+		err = errNoSuchJob(id)
+	}
 	if err != nil || state == apjob.Pending {
 		i.log("Status", id, err, nil)
 	}
@@ -85,14 +94,32 @@
 	return progress.State, nil
 }
 
-// Cancel asks the shard's owner to cancel a job. It also succeeds when the job has ended. Errors: NoSuchJob,
-// StoreUnavailable, StoreUnknown, StoreConflict (ctx ended between retries).
+// Cancel asks the shard's owner to cancel a job. It also succeeds when the job has ended. Errors: NoSuchJob (it isn't
+// stored, nor will be by a submission that is under way), CancelsLimited, StoreUnavailable, StoreUnknown, StoreConflict (ctx
+// ended between retries).
 func (i *Intake) Cancel(ctx context.Context, queue apqueue.Queue, id apjob.ID) error {
-	err := i.inShardOf(ctx, queue, id, func(shard apjournal.Shard) error { return i.cancelIn(ctx, shard, id) })
+	err := i.cancel(ctx, queue, id)
+	if apcode.Is(err, apcode.JobCancelled) {
+		err = errNoSuchJob(id)
+	}
 	i.log("Cancel", id, err, nil)
 	return err
 }
 
+func (i *Intake) cancel(ctx context.Context, queue apqueue.Queue, id apjob.ID) error {
+	for range maxLookups {
+		err := i.inShardOf(ctx, queue, id, func(shard apjournal.Shard) error { return i.cancelIn(ctx, shard, id) })
+		if apcode.Is(err, apcode.NoSuchJob) {
+			err = i.forbid(ctx, shardOf(queue), id)
+		}
+		if err == nil || !apcode.Is(err, apcode.StoreConflict) {
+			return err
+		}
+		// The job was stored or retired in the meantime.
+	}
+	return errNoSuchJob(id)
+}
+
 func (i *Intake) cancelIn(ctx context.Context, shard apjournal.Shard, id apjob.ID) error {
 	for {
 		value, err := i.store.Read(ctx, apjournal.JobKey(shard, id))
@@ -126,5 +153,9 @@
 	return apcode.Errorf(apcode.NoSuchJob, "job %s is not stored", id)
 }
 
+func errCancelled(id apjob.ID) error {
+	return apcode.Errorf(apcode.JobCancelled, "job %s was cancelled before it was stored", id)
+}
+
 // cancelValue is a placeholder: the key alone identifies the cancel request.
 var cancelValue = []byte{1}
--- a/internal/apintake/location.go
+++ b/internal/apintake/location.go
@@ -16,7 +16,7 @@
 const maxLookups = 3
 
 // inShardOf calls act with the shard of the queue's present service. If the job isn't there, it calls act with the one that the
-// job's location names. Errors: those of act and of the store.
+// job's location names. Errors: those of act and of the store, and JobCancelled.
 func (i *Intake) inShardOf(ctx context.Context, queue apqueue.Queue, id apjob.ID, act func(apjournal.Shard) error) error {
 	shard := shardOf(queue)
 	for attempt := 1; ; attempt++ {
@@ -30,6 +30,8 @@
 			return readErr
 		case !found:
 			return err
+		case location.Cancelled:
+			return errCancelled(id)
 		}
 		shard = location.Shard
 	}
@@ -58,7 +60,7 @@
 	}
 	queue := apqueue.Queue{Name: location.Queue, Service: apfleet.ServiceName(location.Shard), Host: location.Host, Prefix: location.Prefix}
 	accepted := apqueue.Table{Queues: []apqueue.Queue{queue}}
-	if _, rest, ok := accepted.Find(host, requestPath); !found || !ok || rest != string(id) {
+	if _, rest, ok := accepted.Find(host, requestPath); !found || location.Cancelled || !ok || rest != string(id) {
 		return apqueue.Queue{}, "", unknown
 	}
 	return queue, id, nil
--- a/internal/apnode/providers.go
+++ b/internal/apnode/providers.go
@@ -55,6 +55,7 @@
 func newIntake(r *reporter, relay *aprelay.Store, settings apadapter.Settings) *apintake.Intake {
 	options := apintake.DefaultOptions()
 	options.MaxSettingsAge = time.Duration(settingsAgeRatio * float64(settings.Bounds.MaxConfigDelay))
+	options.TombstoneTTL = max(options.TombstoneTTL, settings.MinTTL)
 	return apintake.New(relay, options, r.logRequest)
 }
 
--- a/pkg/apcode/apcode.go
+++ b/pkg/apcode/apcode.go
@@ -91,6 +91,8 @@
 	NoSuchJob      Code = 6012
 	JobUnsettled   Code = 6013
 	SettingsStale  Code = 6014
+	JobCancelled   Code = 6015
+	CancelsLimited Code = 6016
 	StaleFence     Code = 6020
 	StaleRun       Code = 6021
 	OrderLate      Code = 6022
--- a/pkg/apcode/descriptions.go
+++ b/pkg/apcode/descriptions.go
@@ -61,6 +61,8 @@
 		{NoSuchJob, "NoSuchJob", http.StatusGone, false, "No such job is stored.", "Submit it again if it is still wanted."},
 		{JobUnsettled, "JobUnsettled", http.StatusGatewayTimeout, false, "It is not known whether the job was stored.", "Send it again with the same id."},
 		{SettingsStale, "SettingsStale", http.StatusServiceUnavailable, true, "This entry has no settings that are known to be current.", "Send again after Retry-After; another entry may serve it."},
+		{JobCancelled, "JobCancelled", http.StatusGone, true, "The job was cancelled before it was stored.", "Nothing; submit it under another id if it is still wanted."},
+		{CancelsLimited, "CancelsLimited", http.StatusTooManyRequests, true, "Too many jobs that are not stored are being cancelled.", "Cancel again after Retry-After; another entry may do it at once."},
 		{StaleFence, "StaleFence", http.StatusConflict, true, "The worker or the platform has seen a higher fencing token.", "Nothing; another owner has taken over, or a newer order under a raised fence was faster."},
 		{StaleRun, "StaleRun", http.StatusConflict, true, "The run's number is not above that of a run that ended or was stopped on this worker.", "Start the task with a higher run number."},
 		{OrderLate, "OrderLate", http.StatusConflict, true, "The order arrived after its lease had ended.", "Nothing; it had no effect."},
--- a/pkg/apjournal/records.go
+++ b/pkg/apjournal/records.go
@@ -77,16 +77,19 @@
 // job's other records, so that an ID stands for one job. Jobs of entries older than the record have none.
 type Location struct {
 	// Shard holds the job's other records.
-	Shard Shard `cbor:"Shard"`
+	Shard Shard `cbor:"Shard,omitempty"`
 	// Queue, Host and Prefix are those of the queue when it accepted the job.
-	Queue  apjob.Queue `cbor:"Queue"`
+	Queue  apjob.Queue `cbor:"Queue,omitempty"`
 	Host   string      `cbor:"Host,omitempty"`
 	Prefix string      `cbor:"Prefix,omitempty"`
+	// Cancelled means that the job was cancelled before it was stored, so it must not be stored any more. The other fields
+	// are empty then, and the record is removed with its lease.
+	Cancelled bool `cbor:"Cancelled,omitempty"`
 }
 
 // Check returns BadMessage for a location without a shard.
 func (l Location) Check() error {
-	if l.Shard == "" {
+	if l.Shard == "" && !l.Cancelled {
 		return apcode.Errorf(apcode.BadMessage, "location without a shard")
 	}
 	return nil
