Jobs: the shard of a removed service has an owner while it holds jobs

Once a service was removed from the settings and the owner of its shard had ended, its jobs went on nowhere, couldn't be cancelled, and their records were never removed. The counts of waiting jobs of a dead owner also stayed if its successor had none.

Cause: entries claim a shard for each pool in force only, and a new owner stored its first counts only if there were any.

The change: the counts of a shard say whether it holds jobs or ends that are kept, and an owner stores them at its start.

--- a/internal/apnode/apnode.go
+++ b/internal/apnode/apnode.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -77,6 +78,7 @@
 	intake        *apintake.Intake
 	callerHandler *apadapter.CallerHandler
 	member        *apmember.Member
+	former        *apmember.Former
 	table         atomic.Pointer[apqueue.Table]
 	gc            gcTuner
 }
@@ -117,6 +119,7 @@
 	background, _ := errgroup.WithContext(servingCtx)
 	background.Go(func() error { return n.watchQueueTable(servingCtx) })
 	background.Go(func() error { return n.logCallCounts(servingCtx) })
+	background.Go(func() error { return n.former.Run(servingCtx, n.table.Load) })
 	for _, s := range servers {
 		background.Go(s.serve)
 	}
@@ -233,8 +236,8 @@
 	}
 }
 
-// requiredShards lists the shards that must have an owner: one for each pool, and one for machines if the
-// platform has a machine service.
+// requiredShards lists the shards that must have an owner: one for each pool, one for machines if the platform has a
+// machine service, and those of earlier pools that still hold jobs.
 func (n *Node) requiredShards() []apjournal.Shard {
 	table := n.table.Load()
 	if table == nil {
@@ -247,6 +250,11 @@
 	for _, pool := range table.Pools() {
 		shards = append(shards, apjournal.Shard(pool))
 	}
+	for _, shard := range n.former.Shards() {
+		if !slices.Contains(shards, shard) {
+			shards = append(shards, shard)
+		}
+	}
 	return shards
 }
 
--- a/internal/apnode/apnode_test.go
+++ b/internal/apnode/apnode_test.go
@@ -69,6 +69,8 @@
 	*apemulator.Emulator
 	t    *testing.T
 	node *apnode.Node
+	// stop ends the entry.
+	stop context.CancelFunc
 	// exited receives the result of the entry's Run.
 	exited   chan error
 	settings apadapter.Settings
@@ -110,6 +112,7 @@
 	e.node = apnode.New(e.settings, logger)
 	e.caller = e.NewCaller()
 	ctx, stop := context.WithCancel(t.Context())
+	e.stop = stop
 	group := &errgroup.Group{}
 	e.exited = make(chan error, 1)
 	group.Go(func() error {
--- a/internal/apnode/providers.go
+++ b/internal/apnode/providers.go
@@ -77,6 +77,7 @@
 	membership.TTL = max(membership.TTL, settings.MinTTL)
 	membership.Weight = int(settings.CPUShare * weightPerCore)
 	membership.Relay = relayAddress(settings)
+	n.former = apmember.NewFormer(store, n.logEvent)
 	n.member = apmember.New(store, settings.Node, n.requiredShards, n.runShard, n.logEvent, membership)
 	p.member.Store(n.member)
 	return n
--- a/internal/apowner/apowner.go
+++ b/internal/apowner/apowner.go
@@ -122,8 +122,8 @@
 	lastWriteAt time.Time
 	// wakeScheduled is true when a timer will wake the loop for the next write.
 	wakeScheduled bool
-	// storedWaiting holds the counts of waiting jobs as last written to the store.
-	storedWaiting    map[apjob.Queue]int
+	// storedCounts holds the counts of waiting jobs as last written to the store by this owner; nil before that.
+	storedCounts     *apjournal.WaitingCounts
 	waitingCountedAt time.Time
 	// retiredAt holds the end times of retired jobs.
 	retiredAt map[apjob.ID]time.Time
--- a/internal/apowner/store.go
+++ b/internal/apowner/store.go
@@ -19,25 +19,18 @@
 		o.scheduleWake(ctx, now)
 		return
 	}
-	var waiting map[apjob.Queue]int
-	waitingChanged := false
-	if now.Sub(o.waitingCountedAt) >= waitingCountsInterval {
-		waiting = o.scheduler.WaitingJobs()
-		waitingChanged = !maps.Equal(waiting, o.storedWaiting)
-		o.waitingCountedAt = now
-	}
+	counts, countsChanged := o.waitingCounts(now)
 	expiredKeys := o.takeExpiredKeys(now)
 	pool, poolChanged := o.poolReport(now)
-	if !o.scheduler.HasBatch() && !waitingChanged && !poolChanged && len(expiredKeys) == 0 && !o.ownershipDue(now) {
+	if !o.scheduler.HasBatch() && !countsChanged && !poolChanged && len(expiredKeys) == 0 && !o.ownershipDue(now) {
 		return
 	}
 	batch := o.scheduler.NextBatch()
 	write := o.journalWrite(batch)
 	write.Removals = append(write.Removals, expiredKeys...)
-	if waitingChanged {
-		o.storedWaiting = waiting
-		data := apfleet.Encode(apjournal.WaitingCounts{Queues: waiting})
-		write.Puts = append(write.Puts, apstore.Put{Key: apjournal.WaitingKey(o.config.Shard), Data: data})
+	if countsChanged {
+		o.storedCounts = &counts
+		write.Puts = append(write.Puts, apstore.Put{Key: apjournal.WaitingKey(o.config.Shard), Data: apfleet.Encode(counts)})
 	}
 	if poolChanged {
 		o.storedReport = pool
@@ -68,6 +61,18 @@
 	})
 }
 
+// waitingCounts returns the counts of waiting jobs, and whether they must be stored: they are due, and differ from those stored
+// last by this owner. The first ones replace those of an earlier owner.
+func (o *Owner) waitingCounts(now time.Time) (apjournal.WaitingCounts, bool) {
+	if now.Sub(o.waitingCountedAt) < waitingCountsInterval {
+		return apjournal.WaitingCounts{}, false
+	}
+	o.waitingCountedAt = now
+	counts := apjournal.WaitingCounts{Queues: o.scheduler.WaitingJobs(), HoldsJobs: o.scheduler.HoldsJobs() || len(o.retiredAt) > 0}
+	stored := o.storedCounts
+	return counts, stored == nil || counts.HoldsJobs != stored.HoldsJobs || !maps.Equal(counts.Queues, stored.Queues)
+}
+
 const (
 	// ownershipTTL is how long after a write was sent that is stored workers' leases may be extended.
 	ownershipTTL = 1200 * time.Millisecond
--- a/pkg/apjournal/keys.go
+++ b/pkg/apjournal/keys.go
@@ -72,6 +72,12 @@
 // WaitingKey returns the key of the shard's counts of waiting jobs.
 func WaitingKey(shard Shard) apfleet.Key { return PrefixWaiting + apfleet.Key(shard) }
 
+// ParseWaitingKey returns the shard in a key made by WaitingKey.
+func ParseWaitingKey(key apfleet.Key) (Shard, bool) {
+	name, ok := strings.CutPrefix(string(key), string(PrefixWaiting))
+	return Shard(name), ok
+}
+
 // Prefixes of the records that the machine controller and the owners of pools exchange.
 const (
 	// PrefixControl holds the machine controller's records for pool owners.
--- a/pkg/apjournal/records.go
+++ b/pkg/apjournal/records.go
@@ -68,6 +68,9 @@
 // WaitingCounts holds the number of a shard's waiting jobs by queue.
 type WaitingCounts struct {
 	Queues map[apjob.Queue]int `cbor:"Queues"`
+	// HoldsJobs means that jobs, or their ends, are stored in the shard, so that it needs an owner even if no pool in force
+	// has its name. Owners older than the field leave it out.
+	HoldsJobs bool `cbor:"HoldsJobs,omitempty"`
 }
 
 // Check accepts every count.
--- a/pkg/apscheduler/job.go
+++ b/pkg/apscheduler/job.go
@@ -359,6 +359,9 @@
 	return waiting
 }
 
+// HoldsJobs reports whether the shard has jobs, final or not, that are not removed.
+func (s *Shard) HoldsJobs() bool { return len(s.jobs) > 0 }
+
 // Backlog returns the number of unfinished jobs.
 func (s *Shard) Backlog() int { return len(s.active) }
 
