apscheduler: a late registration does not end the draining of a worker

A task could start on a worker that had announced that it will stop, and be killed there; this was found by reading and shown by a test of the scheduler, not in a play. A registration of the same process from before the announcement, written late, put "ready" in the place of "draining" until the next heartbeat.

Evidence: TestLateRegistrationDoesNotEndDraining failed before: "1 (int) != 0 (int): w1 has announced that it will stop".

A process that drains ends, so draining holds for its start time. A registration of the next process, or without a start time, takes effect as before.

--- a/pkg/apscheduler/worker.go
+++ b/pkg/apscheduler/worker.go
@@ -172,6 +172,10 @@
 		s.logEvent("RegistrationStale", apjob.RunKey{}, info.ID, map[string]any{"OlderByMs": w.startedAt.Sub(info.StartedAt).Milliseconds()})
 		return
 	}
+	if !info.StartedAt.IsZero() && info.StartedAt.Equal(w.info.StartedAt) {
+		// A process that has announced that it will stop does so. The registration was written late.
+		info.Draining = info.Draining || w.info.Draining
+	}
 	startsDraining := info.Draining && !w.info.Draining
 	w.info = info
 	w.registered = true
