--- a/internal/apintake/jobs.go
+++ b/internal/apintake/jobs.go
@@ -12,9 +12,9 @@
 	"auburnport/pkg/apstore"
 )
 
-// Submit stores a job with the present settings of its queue. It is idempotent: it also succeeds when the job is already stored or has ended, in the shard of
-// whatever service. Errors: StoreUnavailable (not stored), JobUnsettled (may be stored), JobCancelled (cancelled before, never
-// stored).
+// Submit stores a job with the present settings of its queue. It is idempotent: it also succeeds when the job is already
+// stored or has ended, in the shard of whatever service. Errors: StoreUnavailable (not stored), JobUnsettled (may be stored),
+// JobCancelled (cancelled before, never stored).
 func (i *Intake) Submit(ctx context.Context, queue apqueue.Queue, job *apjob.Job) error {
 	err := i.submit(ctx, queue, job)
 	i.log("Submit", job.ID, err, map[string]any{"Queue": queue.Name})
--- a/internal/apintake/tombstone.go
+++ b/internal/apintake/tombstone.go
@@ -80,7 +80,7 @@
 // ctx ends first.
 func (i *Intake) forbid(ctx context.Context, shard apjournal.Shard, id apjob.ID) error {
 	if !i.tombstones.take(time.Now(), i.options) {
-		return apcode.Errorf(apcode.CancelsLimited, "job %s is not stored, and more than %g such jobs a second are cancelled", id, i.options.UnknownCancelRate)
+		return apcode.Errorf(apcode.CancelsLimited, "job %s is not stored; %g such cancels a second are allowed", id, i.options.UnknownCancelRate)
 	}
 	var lost apstore.LeaseID
 	maybeStored := false
--- a/pkg/apscheduler/apscheduler.go
+++ b/pkg/apscheduler/apscheduler.go
@@ -102,7 +102,8 @@
 	sortedWorkers []*worker
 	// pathBuffer is reused by criticalPath to avoid allocations.
 	pathBuffer []time.Duration
-	// queues holds the settings of the queues in force, formerQueues the last ones of those that were removed.
+	// queues holds the settings of the queues in force, formerQueues the last ones of those that were
+	// removed while a job without terms was in them.
 	queues       map[apjob.Queue]Queue
 	formerQueues map[apjob.Queue]Queue
 	// queuesChanged means that the settings of queues were replaced since the last call of Plan.
--- a/pkg/apscheduler/terms.go
+++ b/pkg/apscheduler/terms.go
@@ -1,7 +1,6 @@
 package apscheduler
 
 import (
-	"maps"
 	"math"
 	"time"
 
@@ -18,7 +17,11 @@
 	if s.formerQueues == nil {
 		s.formerQueues = make(map[apjob.Queue]Queue)
 	}
-	maps.Copy(s.formerQueues, s.queues)
+	for _, j := range s.active {
+		if queue, ok := s.queues[j.def.Queue]; ok && j.def.Terms.MaxAttempts <= 0 {
+			s.formerQueues[j.def.Queue] = queue
+		}
+	}
 	s.queues = make(map[apjob.Queue]Queue, len(queues))
 	for name, queue := range queues {
 		queue.MaxAttempts = max(1, queue.MaxAttempts)
