--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -189,6 +189,7 @@
 		if j.waitingTasks == 0 || !mayBePlaced(j, eligible, unplaceable) {
 			continue
 		}
+		priority := s.terms(j.def).Priority
 		for i := range j.progress.Occurrences {
 			occurrence := &j.progress.Occurrences[i]
 			softDeadline, hardDeadline := j.softDeadline, j.hardDeadline
@@ -206,7 +207,7 @@
 					job: j, occurrence: occurrence.Number, step: n,
 					urgency:    urgencyOf(j.def.Steps[n].LongRunning, softDeadline.Sub(now)-criticalPath, laxity),
 					jobRunning: j.state() != apjob.Pending, laxity: laxity, work: work,
-					priority: s.terms(j.def).Priority,
+					priority: priority,
 				})
 			}
 		}
