--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -184,6 +184,7 @@
 		if j.waitingTasks == 0 || !s.mayBePlaced(j, pool) {
 			continue
 		}
+		priority := s.terms(j.def).Priority
 		for i := range j.progress.Occurrences {
 			occurrence := &j.progress.Occurrences[i]
 			softDeadline, hardDeadline := j.softDeadline, j.hardDeadline
@@ -201,7 +202,7 @@
 					job: j, occurrence: occurrence.Number, step: n,
 					urgency:    urgencyOf(j.def.Steps[n].LongRunning, softDeadline.Sub(now)-criticalPath, laxity),
 					jobRunning: j.state() != apjob.Pending, laxity: laxity, work: work,
-					priority: s.terms(j.def).Priority,
+					priority: priority,
 				})
 			}
 		}
