Scheduler: let an advisor's denials end with the advisor of the queue

Cause: possibleWorkers left out workers that the advisor had denied the step, also when the queue no longer has an advisor.

Evidence: TestDenialsEndWithAdvisorOfQueue failed before: 0 != 1.

The change: denials are looked at only while the queue needs tickets.

--- a/pkg/apscheduler/advice.go
+++ b/pkg/apscheduler/advice.go
@@ -82,10 +82,14 @@
 	}
 }
 
-// withoutDenied returns the workers but those that the advisor has denied a step.
+// needsTicket reports whether the tasks of a job start only with a ticket.
+func (s *Shard) needsTicket(j *job) bool { return j != nil && s.queues[j.def.Queue].NeedsTicket }
+
+// withoutDenied returns the workers but those that the advisor has denied a step. A denial counts as long as the queue has an
+// advisor.
 func (s *Shard) withoutDenied(step apjob.StepID, workers []*worker) []*worker {
 	a := s.advice[step]
-	if a == nil {
+	if a == nil || !s.needsTicket(s.jobs[step.Job]) {
 		return workers
 	}
 	var possible []*worker
@@ -101,7 +105,7 @@
 // those with a ticket have no room for the waiting tasks, it queues a question about others that have. If there
 // are fewer of them than waiting tasks, the question is also about workers that may have room later.
 func (s *Shard) workersWithTickets(j *job, q *search, waiting int, possible []*worker, now time.Time) []*worker {
-	if !s.queues[j.def.Queue].NeedsTicket {
+	if !s.needsTicket(j) {
 		return possible
 	}
 	a := s.advice[q.id]
--- a/pkg/apscheduler/choose_test.go
+++ b/pkg/apscheduler/choose_test.go
@@ -188,6 +188,16 @@
 	assert.DeepEqual(t, sizes, []int{3, 6, 12, 19})
 }
 
+func TestDenialsEndWithAdvisorOfQueue(t *testing.T) {
+	p := newPool(1, apscheduler.Queue{MaxAttempts: 4, NeedsTicket: true})
+	p.shard.Submit(job(apjob.Step{Count: 1, Need: apjob.Resources{CPU: 4000}}), 0, start)
+	p.pass(0, jobID)
+	p.shard.ApplyAdvice(p.shard.TakeQuestions()[0], apworker.Advice{}, nil, p.now)
+	assert.Equal(t, len(p.pass(time.Second, jobID)), 0)
+	p.shard.SetQueues(map[apjob.Queue]apscheduler.Queue{"q": {MaxAttempts: 4}})
+	assert.Equal(t, len(p.pass(0, jobID)), 1)
+}
+
 // A question about many workers may take the advisor longer than an entry waits.
 func TestQuestionsShrinkWhileAdvisorDoesNotAnswer(t *testing.T) {
 	p := newPool(40, apscheduler.Queue{MaxAttempts: 4, NeedsTicket: true})
--- a/pkg/apscheduler/reserve.go
+++ b/pkg/apscheduler/reserve.go
@@ -63,7 +63,7 @@
 	if !pool.unplaceableWithheld.fitsAny(need) {
 		return false
 	}
-	if step.LongRunning || step.Gang || step.Label != "" || step.MaxPerWorker > 0 || s.queues[j.def.Queue].NeedsTicket {
+	if step.LongRunning || step.Gang || step.Label != "" || step.MaxPerWorker > 0 || s.needsTicket(j) {
 		return true
 	}
 	if slices.ContainsFunc(pool.placeableLater, func(larger apjob.Resources) bool { return larger.Fits(need) }) {
