--- a/pkg/apscheduler/apscheduler.go
+++ b/pkg/apscheduler/apscheduler.go
@@ -94,6 +94,11 @@
 	// raisedFences holds the fencing tokens of orders to workers that may have restarted. An order to an earlier process
 	// has a lower one, so that the present process refuses it.
 	raisedFences map[apjob.WorkerID]uint64
+	// fenceRaisesDue holds the workers that have or may have restarted and orders to whose earlier process may have had the
+	// newest fence. Until there is a newer one, they get no starts. A worker that is forgotten stays here, as its calls may be late.
+	fenceRaisesDue map[apjob.WorkerID]bool
+	// forgottenAt is when each worker that was forgotten within maxCallDelay was.
+	forgottenAt map[apjob.WorkerID]time.Time
 	// firstPlanAt is the time of the first call of Plan.
 	firstPlanAt time.Time
 	jobs        map[apjob.ID]*job
@@ -102,7 +107,11 @@
 	sortedWorkers []*worker
 	// pathBuffer is reused by criticalPath to avoid allocations.
 	pathBuffer []time.Duration
-	queues     map[apjob.Queue]Queue
+	// queues holds the settings of the queues in force, formerQueues the last ones of those that were removed.
+	queues       map[apjob.Queue]Queue
+	formerQueues map[apjob.Queue]Queue
+	// queuesChanged means that the settings of queues were replaced since the last call of Plan.
+	queuesChanged bool
 	// cordoned workers get no new runs and are evacuated in ascending order of their numbers. lastCordon
 	// is the highest number given out.
 	cordoned   map[apjob.WorkerID]int
@@ -145,23 +154,22 @@
 		opt(&options)
 	}
 	return &Shard{
-		options:       options,
-		fence:         fence,
-		newestFence:   fence,
-		raisedFences:  make(map[apjob.WorkerID]uint64),
-		jobs:          make(map[apjob.ID]*job),
-		active:        make(map[apjob.ID]*job),
-		backfill:      make(map[apjob.ID]bool),
-		workers:       make(map[apjob.WorkerID]*worker),
-		queues:        make(map[apjob.Queue]Queue),
-		meanDurations: make(map[apjob.Queue]*movingAverage),
-		advice:        make(map[apjob.StepID]*stepAdvice),
+		options:        options,
+		fence:          fence,
+		newestFence:    fence,
+		raisedFences:   make(map[apjob.WorkerID]uint64),
+		forgottenAt:    make(map[apjob.WorkerID]time.Time),
+		fenceRaisesDue: make(map[apjob.WorkerID]bool),
+		jobs:           make(map[apjob.ID]*job),
+		active:         make(map[apjob.ID]*job),
+		backfill:       make(map[apjob.ID]bool),
+		workers:        make(map[apjob.WorkerID]*worker),
+		queues:         make(map[apjob.Queue]Queue),
+		meanDurations:  make(map[apjob.Queue]*movingAverage),
+		advice:         make(map[apjob.StepID]*stepAdvice),
 	}
 }
 
-// SetQueues replaces the settings of all queues.
-func (s *Shard) SetQueues(queues map[apjob.Queue]Queue) { s.queues = queues }
-
 // TakeEvents returns the events since the last call and clears them.
 func (s *Shard) TakeEvents() []Event {
 	events := s.events
--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -73,6 +73,7 @@
 	if s.firstPlanAt.IsZero() {
 		s.firstPlanAt = now
 	}
+	s.learnTerms(now)
 	s.expireLeases(now)
 	s.queueDueRecords(now)
 	s.throttleBackfill()
@@ -197,7 +198,7 @@
 			}
 			criticalPath, work := s.remainingWork(j, occurrence)
 			for n := range occurrence.Steps {
-				if !occurrence.Ready(j.def, n) {
+				if !occurrence.Ready(j.def, n) || s.attemptsUnknown(j, occurrence, n) {
 					continue
 				}
 				laxity := hardDeadline.Sub(now) - criticalPath
@@ -205,7 +206,7 @@
 					job: j, occurrence: occurrence.Number, step: n,
 					urgency:    urgencyOf(j.def.Steps[n].LongRunning, softDeadline.Sub(now)-criticalPath, laxity),
 					jobRunning: j.state() != apjob.Pending, laxity: laxity, work: work,
-					priority: s.queues[j.def.Queue].Priority,
+					priority: s.terms(j.def).Priority,
 				})
 			}
 		}
@@ -312,9 +313,13 @@
 		return Stop{To: w.target(), Order: apworker.StopOrder{Run: run, Fence: s.Fence(w.info.ID)}}
 	}
 	j := s.jobs[run.Task.Job]
-	if j == nil || !w.hasReported || o.inherited || w.fenceRaiseDue || w.mayHaveRestarted || o.attempts > 0 && s.suspect(w, now) || !s.mayExtend() {
+	if j == nil || !w.hasReported || o.inherited || s.fenceRaisesDue[w.info.ID] || w.mayHaveRestarted || o.attempts > 0 && s.suspect(w, now) || !s.mayExtend() {
 		return nil
 	}
+	if o.attempts > 0 {
+		// Another process may have carried the first one out. It is to refuse polls of before, which would acknowledge its ends.
+		s.raiseFence(w.info.ID)
+	}
 	return Start{To: w.target(), Order: apworker.StartOrder{
 		Run: run, Spec: j.def.Spec, Deadline: s.extendLease(w, now), Fence: s.Fence(w.info.ID),
 		Checkpoint: o.checkpoint, Ticket: o.ticket,
