Soak draws features of jobs and kinds of faults in turn, and counts which pairs each seed has met

Nothing that we ran used labels, gangs, schedules, backfill, advice or a queue that changes.

TestScriptsCoverAllKinds passes its seed to the options, as the turn depends on it; it asks for as many kinds as there are.

--- a/internal/apcommand/soak.go
+++ b/internal/apcommand/soak.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -24,6 +28,8 @@
 	rate     float64
 	keep     bool
 	steps    bool
+	coverage string
+	scenario string
 }
 
 func (a *app) addSoak() {
@@ -39,6 +45,8 @@
 	command.Flag("duration", "How long load is sent and faults are injected.").Default("20s").DurationVar(&f.duration)
 	command.Flag("rate", "Mean number of jobs submitted per second.").Default("6").Float64Var(&f.rate)
 	command.Flag("keep", "Keep the logs even if no invariant was violated.").BoolVar(&f.keep)
+	command.Flag("coverage", "Markdown file with the number of seeds that met each pair of feature and fault. The seeds of this run are added to it.").StringVar(&f.coverage)
+	command.Flag("scenario", "Play a fixed scenario instead of seeds: "+strings.Join(apsoak.ScenarioNames(), ", ")+", or All.").StringVar(&f.scenario)
 	command.Flag("steps", "Print each fault when it is injected.").BoolVar(&f.steps)
 }
 
@@ -71,39 +79,40 @@
 			return apcode.Wrapf(apcode.BadValue, err, "build auburnport-node; run this command in the repository or set --binary")
 		}
 	}
+	if f.scenario != "" {
+		return a.runScenarios(ctx, f)
+	}
 	return a.runSeeds(ctx, f)
 }
 
 // runSeeds runs the soak once for each seed and prints a table row for each run. It returns InvariantBroken
 // when a run violated an invariant.
 func (a *app) runSeeds(ctx context.Context, f soakFlags) error {
+	coverage, err := readCoverage(f)
+	if err != nil {
+		return err
+	}
 	table := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
 	violatingSeeds := 0
-	_, _ = fmt.Fprintln(table, "SEED\tFAULTS\tJOBS\tACCEPTED\tREFUSED\tCOMPLETED\tFAILED\tCANCELLED\tSTARTS\tBROKEN\tLOGS")
+	_, _ = fmt.Fprintln(table, soakHeader)
 	for i := range f.count {
-		seed := f.seed + uint64(i)
-		soak := apsoak.New(apsoak.WithOptions(func(o *apsoak.Options) {
-			o.Seed, o.Binary, o.Dir, o.KeepLogs, o.Nodes, o.Duration, o.Rate = seed, f.binary, f.dir, f.keep, f.nodes, f.duration, f.rate
-		}))
-		var report apsoak.Report
-		var err error
-		if f.steps {
-			report, err = soak.Run(ctx, a.errOut)
-		} else {
-			report, err = soak.Run(ctx, nil)
-		}
+		soak := apsoak.New(f.options(f.seed + uint64(i)))
+		report, err := soak.Run(ctx, a.stepOutput(f))
 		if err != nil {
 			return err
 		}
-		c := report.Counts
-		_, _ = fmt.Fprintf(table, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", seed, len(report.Script), c.Jobs, c.Accepted, c.Refused,
-			c.Completed, c.Failed, c.Cancelled, c.Starts, len(report.Violations), report.Logs)
-		if err := table.Flush(); err != nil {
-			return apcode.Wrapf(apcode.BadValue, err, "print")
+		if err := printRow(table, fmt.Sprint(report.Seed), report); err != nil {
+			return err
+		}
+		coverage.Add(report.Seed, report.Met)
+		if f.coverage != "" {
+			if err := coverage.WriteFile(f.coverage); err != nil {
+				return err
+			}
 		}
 		if len(report.Violations) > 0 {
 			violatingSeeds++
-			a.printViolations(report)
+			a.printViolations(report, f.replayCommand(report.Seed))
 		}
 	}
 	if violatingSeeds > 0 {
@@ -112,19 +121,103 @@
 	return nil
 }
 
-// maxPrintedViolations limits how many violated invariants are printed for one seed.
-const maxPrintedViolations = 20
+// runScenarios plays the selected scenarios one after the other and prints a table row for each.
+func (a *app) runScenarios(ctx context.Context, f soakFlags) error {
+	names := []string{f.scenario}
+	if f.scenario == "All" {
+		names = apsoak.ScenarioNames()
+	}
+	table := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, soakHeader)
+	violating := 0
+	for _, name := range names {
+		report, err := apsoak.PlayScenario(ctx, name, f.options(f.seed), a.stepOutput(f))
+		if err != nil {
+			return err
+		}
+		if err := printRow(table, name, report); err != nil {
+			return err
+		}
+		if len(report.Violations) > 0 {
+			violating++
+			a.printViolations(report, "auburnport soak --scenario "+name)
+		}
+	}
+	if violating > 0 {
+		return apcode.Errorf(apcode.InvariantBroken, "%d of %d scenarios violated an invariant", violating, len(names))
+	}
+	return nil
+}
+
+// readCoverage reads the table of coverage to which this run adds its seeds, if one is written.
+func readCoverage(f soakFlags) (apsoak.Coverage, error) {
+	if f.coverage == "" {
+		return apsoak.Coverage{}, nil
+	}
+	return apsoak.ReadCoverageFile(f.coverage)
+}
 
-// printViolations prints the injected faults of a run and the invariants that it violated.
-func (a *app) printViolations(report apsoak.Report) {
+// options returns the options of the soak with a seed.
+func (f *soakFlags) options(seed uint64) apsoak.Option {
+	return apsoak.WithOptions(func(o *apsoak.Options) {
+		o.Seed, o.Binary, o.Dir, o.KeepLogs, o.Nodes, o.Duration, o.Rate = seed, f.binary, f.dir, f.keep, f.nodes, f.duration, f.rate
+	})
+}
+
+// replayCommand returns the command that plays a seed again.
+func (f *soakFlags) replayCommand(seed uint64) string {
+	return fmt.Sprintf("auburnport soak --seed %d --nodes %d --duration %s --rate %g --steps", seed, f.nodes, f.duration, f.rate)
+}
+
+// stepOutput returns where each step is printed, or nil.
+func (a *app) stepOutput(f soakFlags) io.Writer {
+	if f.steps {
+		return a.errOut
+	}
+	return nil
+}
+
+const soakHeader = "SEED\tFAULTS\tJOBS\tACCEPTED\tREFUSED\tCOMPLETED\tFAILED\tCANCELLED\tSTARTS\tBROKEN\tLOGS"
+
+func printRow(table *tabwriter.Writer, name string, report apsoak.Report) error {
+	c := report.Counts
+	_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", name, len(report.Script), c.Jobs, c.Accepted, c.Refused,
+		c.Completed, c.Failed, c.Cancelled, c.Starts, len(report.Violations), report.Logs)
+	if err := table.Flush(); err != nil {
+		return apcode.Wrapf(apcode.BadValue, err, "print")
+	}
+	return nil
+}
+
+// maxPrintedViolations limits how many groups of violations are printed for one seed, maxPrintedLines how many lines of a
+// job's history.
+const (
+	maxPrintedViolations = 20
+	maxPrintedLines      = 120
+)
+
+// printViolations prints the injected faults of a run, the invariants that it violated, the command that plays it again, and
+// the histories of the jobs.
+func (a *app) printViolations(report apsoak.Report, replay string) {
 	for _, step := range report.Script {
 		_, _ = fmt.Fprintln(a.out, "   ", step)
 	}
-	for i, violation := range report.Violations {
+	for i, group := range report.ViolationGroups() {
 		if i == maxPrintedViolations {
-			_, _ = fmt.Fprintf(a.out, "  and %d more\n", len(report.Violations)-i)
-			return
+			_, _ = fmt.Fprintf(a.out, "  and others, %d in all\n", len(report.Violations))
+			break
+		}
+		_, _ = fmt.Fprintf(a.out, "  broken: %s\n", group.First)
+		if group.Count > 1 {
+			_, _ = fmt.Fprintf(a.out, "    and %d more of this job\n", group.Count-1)
+		}
+	}
+	_, _ = fmt.Fprintln(a.out, "  play again:", replay)
+	for _, id := range slices.Sorted(maps.Keys(report.Histories)) {
+		lines := report.Histories[id]
+		_, _ = fmt.Fprintf(a.out, "  history of job %s, the last %d of %d lines:\n", id, min(len(lines), maxPrintedLines), len(lines))
+		for _, line := range lines[max(0, len(lines)-maxPrintedLines):] {
+			_, _ = fmt.Fprintln(a.out, "   ", line)
 		}
-		_, _ = fmt.Fprintln(a.out, "  broken:", violation)
 	}
 }
--- a/internal/apsoak/apsoak.go
+++ b/internal/apsoak/apsoak.go
@@ -30,8 +30,12 @@
 	// workerProxies holds the proxies in front of the workers.
 	workerProxies *ProxySet
 	configs       *configVersions
-	random        *rand.Rand
-	startedAt     time.Time
+	tracker       *tracker
+	arrivals      []Arrival
+	// scenario is played instead of the script and the arrivals, unless it is nil.
+	scenario *scenario
+	// startedAt is the start of the load, createdAt that of the emulator, from which its history counts.
+	startedAt, createdAt time.Time
 }
 
 // Report is the result of a run.
@@ -40,6 +44,10 @@
 	Script     []Step
 	Counts     apemulator.Counts
 	Violations []apemulator.Violation
+	// Histories holds, for each job that a violation names, the lines of all sides in the order of time.
+	Histories map[apjob.ID][]string
+	// Met holds the pairs that the run has met.
+	Met map[Pair]bool
 	// Logs is the folder with the output of the processes. It is kept if an invariant was violated, if the run
 	// failed, or if Options.KeepLogs is set. Otherwise Logs is empty.
 	Logs string
@@ -51,9 +59,9 @@
 	for _, opt := range opts {
 		opt(&options)
 	}
-	random := rand.New(rand.NewPCG(options.Seed, 0))
-	s := &Soak{options: options, random: random, configs: newConfigVersions()}
-	s.script = GenerateScript(options, random)
+	s := &Soak{options: options, configs: newConfigVersions(), tracker: newTracker()}
+	s.script = GenerateScript(options, rand.New(rand.NewPCG(options.Seed, 0)))
+	s.arrivals = GenerateLoad(options, s.script)
 	return s
 }
 
@@ -77,6 +85,7 @@
 	s.workerProxies.Close()
 	err = firstError(err, group.Wait(), s.emulator.Stop())
 	report.Counts, report.Violations = s.emulator.Record.Counts(), s.emulator.Record.Violations()
+	report.Met, report.Histories = s.tracker.pairs(), s.histories(report.Violations)
 	if err == nil && len(report.Violations) == 0 && !s.options.KeepLogs {
 		report.Logs = ""
 		err = os.RemoveAll(dir)
@@ -94,10 +103,18 @@
 
 // start starts the platform and the entries.
 func (s *Soak) start(ctx context.Context, dir string, group *errgroup.Group) error {
+	s.createdAt = time.Now()
 	s.emulator = apemulator.New(apemulator.WithOptions(func(o *apemulator.Options) {
 		// With half of the seeds the platform doesn't check fencing tokens, so only the entries' own permits
 		// keep a former owner of the machines from giving orders.
 		o.FencesUnchecked = s.options.Seed%2 == 1
+		o.Kinds, o.ImpairmentsReported = workerKinds, true
+		if slices.ContainsFunc(s.script, func(step Step) bool { return step.Kind == KindClocksOff }) {
+			o.ClockRates = slowClockRates
+		}
+		if s.scenario != nil && s.scenario.prepare != nil {
+			s.scenario.prepare(o)
+		}
 		for i := range o.Pools {
 			o.Pools[i].Machines = max(o.Pools[i].Machines, int(math.Ceil(s.options.Rate*machinesPerJobRate)))
 		}
@@ -133,13 +150,34 @@
 // below the capacity so that accepted jobs can be done in time.
 const machinesPerJobRate = 1.0
 
+// workerKinds are the labels of the kinds of machines, and slowClockRates the speeds of their clocks if some are slow. The
+// machines get them in turn.
+var (
+	workerKinds    = []string{"general", "special"}
+	slowClockRates = []float64{1, 0.98, 0.99}
+)
+
+// kindOf returns the kind that the machine with a name, which ends with its number, has at the start.
+func (s *Soak) kindOf(name string) string {
+	return workerKinds[slices.Index(s.emulator.Fleet.MachineNames(), name)%len(workerKinds)]
+}
+
 // configure commits the next version of the configuration.
 func (s *Soak) configure(ctx context.Context) error {
-	version, queues := s.configs.nextVersion()
-	if err := s.emulator.Configure(ctx, version, queues); err != nil {
+	version := s.configs.nextVersion()
+	if s.scenario != nil {
+		return s.commit(ctx, version, s.scenario.queues)
+	}
+	return s.commit(ctx, version, workingQueues(version))
+}
+
+// commit commits a version of the configuration with some queues and the marker queue.
+func (s *Soak) commit(ctx context.Context, version uint64, queues []apemulator.QueueSpec) error {
+	if err := s.emulator.Configure(ctx, version, append(queues, markerQueue(version))); err != nil {
 		return err
 	}
 	s.configs.markCommitted(version)
+	s.tracker.configCommitted(version)
 	return nil
 }
 
@@ -151,11 +189,14 @@
 		s.emulator.Record.AddViolation(apemulator.InvariantConfig, "only %d of %d entries are ready %s after their start", s.countReady(), len(s.entries), s.options.ReadyTimeout)
 	}
 	s.startedAt = time.Now()
+	if s.scenario != nil {
+		return s.playScenario(ctx, progress)
+	}
 	load := newLoadGenerator(s)
 	loadCtx, stop := context.WithTimeout(ctx, s.options.Duration)
 	defer stop()
 	group, loadCtx := errgroup.WithContext(loadCtx)
-	group.Go(func() error { return load.run(loadCtx) })
+	group.Go(func() error { return load.run(loadCtx, s.arrivals) })
 	group.Go(func() error { return s.checkConfigRollbacks(loadCtx) })
 	group.Go(func() error {
 		for pause(loadCtx, statusInterval) {
@@ -268,6 +309,3 @@
 	}
 	return file, nil
 }
-
-// newJobID returns a job ID from a seeded source, so that the logs of two runs with the same seed can be compared.
-func newJobID(random *rand.Rand) apjob.ID { return apjob.ID(fmt.Sprintf("%016x", random.Uint64())) }
--- a/internal/apsoak/apsoak_test.go
+++ b/internal/apsoak/apsoak_test.go
@@ -24,12 +24,30 @@
 	}
 }
 
+// The same seed always gives the same jobs, with the same features at the same times.
+func TestLoadIsDeterministic(t *testing.T) {
+	options := apsoak.Options{Duration: 10 * time.Second, Rate: 6, Seed: 7}
+	script := apsoak.GenerateScript(options, rand.New(rand.NewPCG(7, 0)))
+	first := apsoak.GenerateLoad(options, script)
+	assert.DeepEqual(t, first, apsoak.GenerateLoad(options, script))
+	var last time.Duration
+	for _, arrival := range first {
+		assert.NilError(t, arrival.Submission.Job.Check())
+		assert.Assert(t, arrival.At >= last && arrival.At < options.Duration, "%v", arrival)
+		last = arrival.At
+	}
+	other := options
+	other.Seed = 8
+	assert.Assert(t, first[0].Submission.Job.ID != apsoak.GenerateLoad(other, script)[0].Submission.Job.ID)
+}
+
 // The scripts of a few seeds together contain every kind of step, and steps that overlap.
 func TestScriptsCoverAllKinds(t *testing.T) {
 	options := apsoak.Options{Duration: 20 * time.Second}
 	kinds := make(map[apsoak.Kind]bool)
 	overlaps := 0
 	for seed := range uint64(20) {
+		options.Seed = seed
 		script := apsoak.GenerateScript(options, rand.New(rand.NewPCG(seed, 0)))
 		for i, step := range script {
 			kinds[step.Kind] = true
--- a/internal/apsoak/entry.go
+++ b/internal/apsoak/entry.go
@@ -27,14 +27,18 @@
 
 // entryProcess is one entry: its process, which can be restarted, and the proxy between it and the store.
 type entryProcess struct {
-	name           string
-	binary         string
+	name string
+	// settings is the path of the settings file, machines the address of the machine service.
 	settings       string
+	machines       netip.AddrPort
+	binary         string
 	dir            string
 	group          *errgroup.Group
 	callersAddress netip.AddrPort
 	readyAddress   netip.AddrPort
 	storeProxy     *Proxy
+	// advisorProxy is in front of the entry's advisor. Another one replaces it when the advisor moves.
+	advisorProxy *Proxy
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -44,7 +48,7 @@
 	startCount int
 }
 
-// loopbackAddress derives a loopback address for an entry from the process ID, so that the entry's fixed ports
+// loopbackAddress derives the loopback address of entry i from the process ID, so that the entry's fixed ports
 // are free.
 func loopbackAddress(i int) netip.Addr {
 	pid := os.Getpid()
@@ -52,8 +56,8 @@
 }
 
 func newEntryProcess(e *apemulator.Emulator, i int, machines netip.AddrPort, dir string, options Options, group *errgroup.Group) (*entryProcess, error) {
-	p := &entryProcess{name: fmt.Sprintf("entry-%d", i+1), binary: options.Binary, dir: dir, group: group}
-	ip := loopbackAddress(i)
+	p := &entryProcess{name: fmt.Sprintf("entry-%d", i+1), binary: options.Binary, machines: machines, dir: dir, group: group}
+	ip := loopbackAddress(options.FirstHost + i)
 	p.callersAddress, p.readyAddress = netip.AddrPortFrom(ip, portCallers), netip.AddrPortFrom(ip, portReady)
 	address, err := e.ServeStore(p.name)
 	if err != nil {
@@ -63,13 +67,34 @@
 		return nil, err
 	}
 	p.settings = filepath.Join(dir, p.name+".conf")
+	if err := p.writeSettings(e); err != nil {
+		p.storeProxy.Close()
+		return nil, err
+	}
+	return p, nil
+}
+
+// writeSettings starts a new advisor for the entry and writes the settings file, which names it. The address of an earlier
+// one no longer answers.
+func (p *entryProcess) writeSettings(e *apemulator.Emulator) error {
+	advisor, err := e.ServeAdvisor(p.name)
+	if err != nil {
+		return err
+	}
+	if p.advisorProxy != nil {
+		p.advisorProxy.Close()
+	}
+	if p.advisorProxy, err = NewProxy(p.group, advisor); err != nil {
+		return err
+	}
 	text := e.Settings(apemulator.EntrySettings{
-		Name: p.name, Callers: p.callersAddress, Readiness: p.readyAddress, FirstPort: portFirst, Store: p.storeProxy.Address(), Machines: machines,
+		Name: p.name, Callers: p.callersAddress, Readiness: p.readyAddress, FirstPort: portFirst, Store: p.storeProxy.Address(),
+		Machines: p.machines, Advisor: p.advisorProxy.Address(),
 	})
 	if err := os.WriteFile(p.settings, text, 0o600); err != nil {
-		return nil, apcode.Wrapf(apcode.BadValue, err, "write the settings of %s", p.name)
+		return apcode.Wrapf(apcode.BadValue, err, "write the settings of %s", p.name)
 	}
-	return p, nil
+	return nil
 }
 
 // start starts the process.
@@ -152,6 +177,7 @@
 		<-p.exited
 	}
 	p.storeProxy.Close()
+	p.advisorProxy.Close()
 }
 
 // isReady requests the readiness of the entry as the load balancer does.
--- a/internal/apsoak/inject.go
+++ b/internal/apsoak/inject.go
@@ -22,6 +22,8 @@
 	// of each requested wave.
 	waveDuration = 12 * time.Second
 	waveMaxCount = 3
+	// drainNotice is the time between the notice of a planned shutdown of a worker and the shutdown.
+	drainNotice = 3 * time.Second
 )
 
 // inject waits until a step is due and executes it.
@@ -32,23 +34,35 @@
 	if progress != nil {
 		_, _ = fmt.Fprintln(progress, step)
 	}
-	random := rand.New(rand.NewPCG(step.Seed, 1))
-	switch step.Kind {
-	case KindKill, KindTerm, KindPause, KindRollingRestart, KindReload:
+	end := s.emulator.Record.BeginImpairment(step.String())
+	defer end()
+	from := time.Now()
+	defer func() { s.tracker.stepDone(step.Kind, from) }()
+	return s.execute(ctx, step, rand.New(rand.NewPCG(step.Seed, 1)))
+}
+
+// execute executes a step and returns when its effect has ended.
+func (s *Soak) execute(ctx context.Context, step Step, random *rand.Rand) error {
+	switch k := step.Kind; {
+	case k.between(KindKill, KindReload):
 		return s.signalEntries(ctx, step, random)
-	case KindStoreLink:
-		s.faultEntries(ctx, step, random, func(p *entryProcess) { p.storeProxy.SetLink(step.LinkState) }, func(p *entryProcess) { p.storeProxy.SetLink(LinkOpen) })
-	case KindStoreFault:
+	case k.between(KindLinkDelayed, KindLinkSilenced):
+		s.faultEntries(ctx, step, random, func(p *entryProcess) { p.storeProxy.SetLink(k.linkState()) }, func(p *entryProcess) { p.storeProxy.SetLink(LinkOpen) })
+	case k.between(KindStoreBusy, KindStoreLate):
 		s.faultEntries(ctx, step, random,
-			func(p *entryProcess) { s.emulator.Store.SetFault(p.name, step.StoreFault) },
+			func(p *entryProcess) { s.emulator.Store.SetFault(p.name, k.storeFault()) },
 			func(p *entryProcess) { s.emulator.Store.SetFault(p.name, apemulator.StoreFaultNone) })
-	case KindCompact:
+	case k == KindCompact:
 		s.emulator.Store.Compact()
-	case KindWorkerLink, KindWorkerCrash, KindWorkerFault:
+	case k.onWorkers():
 		s.faultWorkers(ctx, step, random)
-	case KindConfig:
+	case k == KindClocksOff:
+		pause(ctx, step.Duration)
+	case k == KindAdvisorMove:
+		return s.moveAdvisors()
+	case k == KindConfig:
 		return s.configure(ctx)
-	case KindWave:
+	case k == KindWave:
 		names := s.emulator.Fleet.MachineNames()
 		return s.emulator.Fleet.StartWave(ctx, step.Number, sample(names, step.Share, random), waveDuration, waveMaxCount)
 	default:
@@ -56,6 +70,17 @@
 	return nil
 }
 
+// moveAdvisors gives each entry's advisor another address and makes the entries reload their settings.
+func (s *Soak) moveAdvisors() error {
+	for _, p := range s.entries {
+		if err := p.writeSettings(s.emulator); err != nil {
+			return err
+		}
+	}
+	signalAll(s.entries, syscall.SIGHUP)
+	return nil
+}
+
 // sample returns a random sample of the items: the given share of them, but at least one.
 func sample[T any](items []T, share float64, random *rand.Rand) []T {
 	n := max(1, min(len(items), int(share*float64(len(items)))))
@@ -78,27 +103,41 @@
 	}
 }
 
-// faultWorkers injects a fault into a sample of the workers, and clears it after the step's duration. A crashed
+// rebirthPause is the time until a worker that is reborn as another kind answers again. Its registration is up to
+// maxEntryDelay later.
+const (
+	rebirthPause  = 500 * time.Millisecond
+	maxEntryDelay = time.Second
+)
+
+// faultWorkers injects a fault into a sample of the workers, and clears it after the step's duration. A crashed or drained
 // machine boots again by itself.
 func (s *Soak) faultWorkers(ctx context.Context, step Step, random *rand.Rand) {
 	workers := s.emulator.Fleet.WorkerAddresses()
 	targets := sample(slices.Sorted(maps.Keys(workers)), step.Share, random)
 	for _, name := range targets {
-		switch step.Kind {
-		case KindWorkerCrash:
+		switch k := step.Kind; {
+		case k == KindWorkerCrash:
 			s.emulator.Fleet.Crash(ctx, name, step.Duration)
-		case KindWorkerFault:
-			s.emulator.Fleet.SetWorkerFault(name, step.WorkerFault)
+		case k == KindWorkerRebirth:
+			delay := time.Duration(random.Float64() * float64(maxEntryDelay))
+			s.emulator.Fleet.Rebirth(ctx, name, workerKinds[random.IntN(len(workerKinds))], rebirthPause, delay)
+		case k == KindWorkerDrain:
+			s.emulator.Fleet.Drain(ctx, name, drainNotice)
+		case k.between(KindWorkerFails, KindWorkerLate):
+			s.emulator.Fleet.SetWorkerFault(name, k.workerFault())
 		default:
-			s.workerProxies.setLink(workers[name], step.LinkState)
+			s.workerProxies.setLink(workers[name], k.linkState())
 		}
 	}
 	pause(ctx, step.Duration)
 	for _, name := range targets {
-		switch step.Kind {
-		case KindWorkerFault:
+		switch k := step.Kind; {
+		case k == KindWorkerRebirth:
+			s.emulator.Fleet.Rebirth(ctx, name, s.kindOf(name), rebirthPause, 0)
+		case k.between(KindWorkerFails, KindWorkerLate):
 			s.emulator.Fleet.SetWorkerFault(name, apemulator.WorkerFaultNone)
-		case KindWorkerLink:
+		case k.between(KindWorkerLinkDelayed, KindWorkerLinkSilenced):
 			s.workerProxies.setLink(workers[name], LinkOpen)
 		default:
 		}
--- a/internal/apsoak/options.go
+++ b/internal/apsoak/options.go
@@ -12,8 +12,10 @@
 	Dir string
 	// KeepLogs keeps the logs of a run without violations.
 	KeepLogs bool
-	// Nodes is the number of entries.
-	Nodes int
+	// Nodes is the number of entries. FirstHost is the number of the first one's loopback address, by which soaks that a
+	// process runs at the same time differ.
+	Nodes     int
+	FirstHost int
 	// Duration is how long load is generated and faults are injected.
 	Duration time.Duration
 	// Faults is the minimum number of steps in the script. 0 means one for each two seconds.
