--- a/internal/apsoak/apsoak.go
+++ b/internal/apsoak/apsoak.go
@@ -220,6 +220,7 @@
 // entry has the newest configuration.
 func (s *Soak) awaitCompletion(ctx context.Context, load *loadGenerator) error {
 	s.clearFaults()
+	s.emulator.Record.EndTraffic()
 	for _, p := range s.entries {
 		if err := p.ensureRunning(); err != nil {
 			return err
@@ -231,10 +232,10 @@
 	}
 	if !s.poll(ctx, s.options.FinishTimeout, done) {
 		for _, submission := range s.emulator.Record.UnfinishedJobs() {
-			s.emulator.Record.AddViolation(apemulator.InvariantCompletion, "job %s has not ended %s after the end of all faults", submission.Job.ID, s.options.FinishTimeout)
+			s.emulator.Record.AddJobViolation(apemulator.InvariantCompletion, submission.Job.ID, "it has not ended %s after the end of all faults", s.options.FinishTimeout)
 		}
 		for _, task := range s.emulator.Record.UnavailableTasks() {
-			s.emulator.Record.AddViolation(apemulator.InvariantCompletion, "long-running task %s is not available %s after the end of all faults", task, s.options.FinishTimeout)
+			s.emulator.Record.AddJobViolation(apemulator.InvariantCompletion, task.Job, "long-running task %s is not available %s after the end of all faults", task, s.options.FinishTimeout)
 		}
 	}
 	s.checkConfig(ctx, load)
--- a/internal/apsoak/history.go
+++ b/internal/apsoak/history.go
@@ -25,7 +25,7 @@
 func (s *Soak) histories(violations []apemulator.Violation) map[apjob.ID][]string {
 	histories := make(map[apjob.ID][]string)
 	for _, violation := range violations {
-		for _, text := range jobIDPattern.FindAllString(violation.Detail, -1) {
+		for _, text := range jobIDPattern.FindAllString(violation.String(), -1) {
 			if id := apjob.ID(text); histories[id] == nil && len(histories) < maxHistories {
 				histories[id] = s.history(id)
 			}
@@ -45,7 +45,7 @@
 	var groups []ViolationGroup
 	positions := make(map[string]int)
 	for _, violation := range r.Violations {
-		key := string(violation.Invariant) + jobIDPattern.FindString(violation.Detail)
+		key := string(violation.Invariant) + jobIDPattern.FindString(violation.String())
 		i, known := positions[key]
 		if !known {
 			i = len(groups)
--- a/internal/apsoak/inject.go
+++ b/internal/apsoak/inject.go
@@ -34,8 +34,9 @@
 	if progress != nil {
 		_, _ = fmt.Fprintln(progress, step)
 	}
-	end := s.emulator.Record.BeginImpairment(step.String())
-	defer end()
+	if step.Kind.impairs() {
+		defer s.emulator.Record.BeginImpairment(step.String())()
+	}
 	from := time.Now()
 	defer func() { s.tracker.stepDone(step.Kind, from) }()
 	return s.execute(ctx, step, rand.New(rand.NewPCG(step.Seed, 1)))
--- a/internal/apsoak/kind.go
+++ b/internal/apsoak/kind.go
@@ -79,6 +79,17 @@
 	return k.between(KindWorkerLinkDelayed, KindWorkerLinkSilenced) || k.between(KindWorkerCrash, KindWorkerLate)
 }
 
+// impairs reports whether the kind is an impairment, by which checks excuse what is near. The others are planned changes,
+// or within what workers always may do.
+func (k Kind) impairs() bool {
+	switch k {
+	case KindReload, KindWorkerDrain, KindClocksOff, KindAdvisorMove, KindConfig, KindWave:
+		return false
+	default:
+		return true
+	}
+}
+
 // linkState returns the link state of the kinds that disturb links.
 func (k Kind) linkState() LinkState {
 	if k.between(KindWorkerLinkDelayed, KindWorkerLinkSilenced) {
--- a/internal/apsoak/load_draw.go
+++ b/internal/apsoak/load_draw.go
@@ -129,7 +129,7 @@
 		a.Submission.FailFirst = 1 + random.IntN(maxJobAttempts-1)
 	case FeatureEndsDone:
 		a.Submission.EndsDone = true
-		a.Submission.TaskDuration += 4 * time.Second
+		a.Submission.TaskDuration += 1500 * time.Millisecond
 	case FeatureQueueMoves, FeatureQueueRemoved, FeatureQueueReturns:
 		a.Submission.TaskDuration *= 2
 	default:
--- a/internal/apsoak/scenario.go
+++ b/internal/apsoak/scenario.go
@@ -90,7 +90,7 @@
 	outcome := s.load.caller.Submit(ctx, s.entries[entry].callersAddress, q, submission)
 	s.log("job %s submitted to %s: status %d", submission.Job.ID, s.entries[entry].name, outcome.Status)
 	if outcome.Status != http.StatusOK {
-		s.emulator.Record.AddViolation(apemulator.InvariantCompletion, "job %s was answered with status %d by an undisturbed entry", submission.Job.ID, outcome.Status)
+		s.emulator.Record.AddJobViolation(apemulator.InvariantCompletion, submission.Job.ID, "its POST was answered with status %d by an undisturbed entry", outcome.Status)
 	}
 }
 
@@ -106,7 +106,7 @@
 func (s *scene) awaitState(ctx context.Context, q apemulator.QueueSpec, id apjob.ID, state apjob.State) {
 	shown := func() bool { return s.load.caller.Status(ctx, s.entries[0].callersAddress, q, id).State == state }
 	if !s.poll(ctx, s.options.FinishTimeout, shown) {
-		s.emulator.Record.AddViolation(apemulator.InvariantCompletion, "job %s isn't %s after %s", id, state, s.options.FinishTimeout)
+		s.emulator.Record.AddJobViolation(apemulator.InvariantCompletion, id, "it isn't %s after %s", state, s.options.FinishTimeout)
 	}
 }
 
@@ -117,7 +117,7 @@
 		outcome := s.load.caller.Status(ctx, p.callersAddress, q, id)
 		s.log("job %s on %s: status %d, %s", id, p.name, outcome.Status, outcome.State)
 		if outcome.Status != http.StatusOK || outcome.State == apjob.Failed {
-			s.emulator.Record.AddViolation(apemulator.InvariantCompletion, "%s answers for the accepted job %s with status %d and state %s", p.name, id, outcome.Status, outcome.State)
+			s.emulator.Record.AddJobViolation(apemulator.InvariantCompletion, id, "%s answers for the accepted job with status %d and state %s", p.name, outcome.Status, outcome.State)
 		}
 	}
 }
--- a/internal/apsoak/scenarios.go
+++ b/internal/apsoak/scenarios.go
@@ -64,6 +64,9 @@
 	lateSteps = 6
 )
 
+// restartTime is a little longer than the time within which a long-running task must run again.
+const restartTime = 6500 * time.Millisecond
+
 // playLatePost cancels jobs whose writes reach the store later, since one entry's requests to it are held up. A job whose
 // cancel was acknowledged doesn't run.
 func playLatePost(ctx context.Context, s *scene) error {
@@ -101,14 +104,14 @@
 	return err
 }
 
-// playLastingEndsDone runs long-running tasks that end as done. They are restarted.
+// playLastingEndsDone runs long-running tasks that end as done. They are restarted, for which they have restartTime.
 func playLastingEndsDone(ctx context.Context, s *scene) error {
 	q := newQueue("find", "search")
-	submission := s.newJob(q, 4*time.Second, apjob.Step{Count: 3, Need: apjob.Resources{CPU: 2000, Memory: 1024}, LongRunning: true, MaxUnavailable: 1})
+	submission := s.newJob(q, 1500*time.Millisecond, apjob.Step{Count: 3, Need: apjob.Resources{CPU: 2000, Memory: 1024}, LongRunning: true, MaxUnavailable: 1})
 	submission.EndsDone = true
 	s.submit(ctx, 0, q, submission)
 	s.awaitStarts(ctx, 3)
-	pause(ctx, 5*time.Second)
+	pause(ctx, 2*time.Second+restartTime)
 	return nil
 }
 
--- a/pkg/apstore/memory/transactional.go
+++ b/pkg/apstore/memory/transactional.go
@@ -45,6 +45,9 @@
 		return apstore.TransactionResult{Current: current}, apcode.Errorf(apcode.StoreConflict, "a condition does not hold")
 	}
 	for _, put := range t.Puts {
+		if len(put.Data) > apstore.MaxValueBytes {
+			return apstore.TransactionResult{}, apcode.Errorf(apcode.ValueTooLarge, "key %s: %d bytes", put.Key, len(put.Data))
+		}
 		if _, ok := s.leases[put.Lease]; put.Lease != 0 && !ok {
 			return apstore.TransactionResult{}, apcode.Errorf(apcode.LeaseLost, "lease %d has expired", put.Lease)
 		}
