--- a/internal/apsoak/scenario.go
+++ b/internal/apsoak/scenario.go
@@ -102,12 +102,15 @@
 	s.log("%d runs were started", s.emulator.Record.Counts().Starts)
 }
 
-// awaitState waits until a job is shown in a state. Otherwise the scenario fails.
-func (s *scene) awaitState(ctx context.Context, q apemulator.QueueSpec, id apjob.ID, state apjob.State) {
-	shown := func() bool { return s.load.caller.Status(ctx, s.entries[0].callersAddress, q, id).State == state }
-	if !s.poll(ctx, s.options.FinishTimeout, shown) {
+// awaitState waits until a job is shown in a state, and reports whether it is. Otherwise the scenario fails.
+func (s *scene) awaitState(ctx context.Context, q apemulator.QueueSpec, id apjob.ID, state apjob.State) bool {
+	shown := s.poll(ctx, s.options.FinishTimeout, func() bool {
+		return s.load.caller.Status(ctx, s.entries[0].callersAddress, q, id).State == state
+	})
+	if !shown {
 		s.emulator.Record.AddJobViolation(apemulator.InvariantCompletion, id, "it isn't %s after %s", state, s.options.FinishTimeout)
 	}
+	return shown
 }
 
 // statusOnAll requests the state of a job from each entry; none may deny that there is such a job, nor show it as failed
--- a/internal/apsoak/scenarios.go
+++ b/internal/apsoak/scenarios.go
@@ -14,7 +14,7 @@
 // scenarios returns all scenarios.
 func scenarios() []scenario {
 	find, advised := newQueue("find", "search"), advisedQueue()
-	advised.Advice.Base = 400 * time.Millisecond
+	advised.Advice.Base = 200 * time.Millisecond
 	returns := newQueue(returningQueue, "search")
 	return []scenario{
 		{name: "QueueMoves", queues: []apemulator.QueueSpec{newQueue(movingQueue, "search")}, play: playQueueMoves},
@@ -178,14 +178,25 @@
 	return nil
 }
 
-// playAdvisedWorkersFull fills the workers of which the advisor approves while it decides. The task is placed on another.
+// advisedRounds is so large that in one of them the advisor is first asked about full workers only.
+const advisedRounds = 6
+
+// playAdvisedWorkersFull fills workers of which the advisor may approve while it decides. The task is placed on another.
 func playAdvisedWorkersFull(ctx context.Context, s *scene) error {
 	find, advised := newQueue("find", "search"), advisedQueue()
-	s.submit(ctx, 0, advised, s.newJob(advised, 2*time.Second, apjob.Step{Count: 1, Need: apjob.Resources{CPU: 4000, Memory: 1024}}))
-	pause(ctx, 100*time.Millisecond)
-	s.submit(ctx, 1, find, s.newJob(find, 0, apjob.Step{
-		Count: 3, Need: apjob.Resources{CPU: 6000, Memory: 2048}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1,
-	}))
+	for range advisedRounds {
+		job := s.newJob(advised, 300*time.Millisecond, apjob.Step{Count: 1, Need: apjob.Resources{CPU: 4000, Memory: 1024}})
+		filling := s.newJob(find, 0, apjob.Step{
+			Count: 3, Need: apjob.Resources{CPU: 6000, Memory: 2048}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1,
+		})
+		s.submit(ctx, 0, advised, job)
+		pause(ctx, 100*time.Millisecond)
+		s.submit(ctx, 1, find, filling)
+		if !s.awaitState(ctx, advised, job.Job.ID, apjob.Completed) {
+			break
+		}
+		s.load.caller.Cancel(ctx, s.entries[0].callersAddress, find, filling.Job.ID)
+	}
 	return nil
 }
 
