--- a/internal/apcommand/soak.go
+++ b/internal/apcommand/soak.go
@@ -88,8 +88,7 @@
 // runSeeds runs the soak once for each seed and prints a table row for each run. It returns InvariantBroken
 // when a run violated an invariant.
 func (a *app) runSeeds(ctx context.Context, f soakFlags) error {
-	coverage, err := readCoverage(f)
-	if err != nil {
+	if _, err := apsoak.ReadCoverageFile(f.coverage); f.coverage != "" && err != nil {
 		return err
 	}
 	table := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
@@ -104,9 +103,8 @@
 		if err := printRow(table, fmt.Sprint(report.Seed), report); err != nil {
 			return err
 		}
-		coverage.Add(report.Seed, report.Met)
 		if f.coverage != "" {
-			if err := coverage.WriteFile(f.coverage); err != nil {
+			if err := apsoak.AddToCoverageFile(f.coverage, report.Seed, report.Met); err != nil {
 				return err
 			}
 		}
@@ -149,14 +147,6 @@
 	return nil
 }
 
-// readCoverage reads the table of coverage to which this run adds its seeds, if one is written.
-func readCoverage(f soakFlags) (apsoak.Coverage, error) {
-	if f.coverage == "" {
-		return apsoak.Coverage{}, nil
-	}
-	return apsoak.ReadCoverageFile(f.coverage)
-}
-
 // options returns the options of the soak with a seed.
 func (f *soakFlags) options(seed uint64) apsoak.Option {
 	return apsoak.WithOptions(func(o *apsoak.Options) {
--- a/internal/apsoak/coverage.go
+++ b/internal/apsoak/coverage.go
@@ -7,8 +7,11 @@
 	"io"
 	"io/fs"
 	"os"
+	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 
 	"auburnport/pkg/apcode"
 )
@@ -16,18 +19,18 @@
 // Coverage counts, for each pair, the seeds whose runs have met it. A seed counts once, however often it is run. The
 // zero value has no seeds.
 type Coverage struct {
+	// seeds are in ascending order.
 	seeds  []uint64
 	counts map[Pair]int
 }
 
 // Add counts the pairs that the run of a seed has met.
 func (c *Coverage) Add(seed uint64, met map[Pair]bool) {
-	for _, known := range c.seeds {
-		if known == seed {
-			return
-		}
+	i, known := slices.BinarySearch(c.seeds, seed)
+	if known {
+		return
 	}
-	c.seeds = append(c.seeds, seed)
+	c.seeds = slices.Insert(c.seeds, i, seed)
 	if c.counts == nil {
 		c.counts = make(map[Pair]int)
 	}
@@ -78,7 +81,7 @@
 	return int64(n), err
 }
 
-// formatSeeds formats seeds as a list of ranges, in the order in which they were run.
+// formatSeeds formats seeds as a list of ranges.
 func formatSeeds(seeds []uint64) string {
 	var ranges []string
 	for i := 0; i < len(seeds); {
@@ -176,7 +179,28 @@
 			seeds = append(seeds, from+i)
 		}
 	}
-	return seeds, nil
+	slices.Sort(seeds)
+	return slices.Compact(seeds), nil
+}
+
+// AddToCoverageFile counts the pairs that the run of a seed has met in the table of a file, which is created if it isn't
+// there. Several commands may use the file at the same time. Errors: BadValue.
+func AddToCoverageFile(name string, seed uint64, met map[Pair]bool) error {
+	dir, err := os.Open(filepath.Dir(name))
+	if err != nil {
+		return apcode.Wrapf(apcode.BadValue, err, "open the directory of the table of coverage")
+	}
+	// Closing the directory ends the lock.
+	defer func() { _ = dir.Close() }()
+	if err := syscall.Flock(int(dir.Fd()), syscall.LOCK_EX); err != nil {
+		return apcode.Wrapf(apcode.BadValue, err, "lock the directory of the table of coverage")
+	}
+	coverage, err := ReadCoverageFile(name)
+	if err != nil {
+		return err
+	}
+	coverage.Add(seed, met)
+	return coverage.writeFile(name)
 }
 
 // ReadCoverageFile reads the file of an earlier run, and returns an empty Coverage if there is none. Errors: BadValue.
@@ -192,8 +216,8 @@
 	return ReadCoverage(file)
 }
 
-// WriteFile writes the page to a file, in one step so that an interrupted soak leaves the earlier page. Errors: BadValue.
-func (c *Coverage) WriteFile(name string) error {
+// writeFile writes the page to a file, in one step so that an interrupted soak leaves the earlier page. Errors: BadValue.
+func (c *Coverage) writeFile(name string) error {
 	var page strings.Builder
 	if _, err := c.WriteTo(&page); err != nil {
 		return apcode.Wrapf(apcode.BadValue, err, "format the table of coverage")
--- a/internal/apsoak/coverage_test.go
+++ b/internal/apsoak/coverage_test.go
@@ -23,17 +23,14 @@
 // The counts of several commands add up in one file, and a seed that is run again counts once.
 func TestCoverageAddsUpOverCommands(t *testing.T) {
 	name := filepath.Join(t.TempDir(), "coverage.md")
-	for _, seeds := range [][]uint64{{1, 2, 3}, {9}, {3}} {
-		coverage, err := apsoak.ReadCoverageFile(name)
-		assert.NilError(t, err)
+	for _, seeds := range [][]uint64{{2, 3}, {9}, {3, 1}} {
 		for _, seed := range seeds {
 			met := map[apsoak.Pair]bool{labelPaused: true}
 			if seed == 9 {
 				met[gangSilenced] = true
 			}
-			coverage.Add(seed, met)
+			assert.NilError(t, apsoak.AddToCoverageFile(name, seed, met))
 		}
-		assert.NilError(t, coverage.WriteFile(name))
 	}
 	coverage, err := apsoak.ReadCoverageFile(name)
 	assert.NilError(t, err)
--- a/internal/apsoak/history.go
+++ b/internal/apsoak/history.go
@@ -65,7 +65,28 @@
 		lines = append(lines, s.logLines(p, id)...)
 	}
 	slices.SortStableFunc(lines, func(a, b string) int { return cmp.Compare(lineTime(a), lineTime(b)) })
-	return lines
+	return collapse(lines)
+}
+
+// collapse replaces lines that repeat the one before them, but for the time, by one that tells their number.
+func collapse(lines []string) []string {
+	var collapsed []string
+	last, repeated := "", 0
+	for _, line := range append(lines, "") {
+		_, text, _ := strings.Cut(line, " s ")
+		if text == last && line != "" {
+			repeated++
+			continue
+		}
+		if repeated > 0 {
+			collapsed = append(collapsed, fmt.Sprintf("            and %d more of this line", repeated))
+		}
+		last, repeated = text, 0
+		if line != "" {
+			collapsed = append(collapsed, line)
+		}
+	}
+	return collapsed
 }
 
 // lineTime returns the time with which a line of a history begins, in seconds.
