--- a/internal/apsoak/apsoak.go
+++ b/internal/apsoak/apsoak.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -36,6 +37,10 @@
 	scenario *scenario
 	// startedAt is the start of the load, createdAt that of the emulator, from which its history counts.
 	startedAt, createdAt time.Time
+
+	mu sync.Mutex
+	// reborn holds the machines whose workers may be of another kind than at the start.
+	reborn map[string]bool
 }
 
 // Report is the result of a run.
@@ -59,7 +64,7 @@
 	for _, opt := range opts {
 		opt(&options)
 	}
-	s := &Soak{options: options, configs: newConfigVersions(), tracker: newTracker()}
+	s := &Soak{options: options, configs: newConfigVersions(), tracker: newTracker(), reborn: make(map[string]bool)}
 	s.script = GenerateScript(options, rand.New(rand.NewPCG(options.Seed, 0)))
 	s.arrivals = GenerateLoad(options, s.script)
 	return s
@@ -220,6 +225,7 @@
 // entry has the newest configuration.
 func (s *Soak) awaitCompletion(ctx context.Context, load *loadGenerator) error {
 	s.clearFaults()
+	s.restoreKinds(ctx)
 	s.emulator.Record.EndTraffic()
 	for _, p := range s.entries {
 		if err := p.ensureRunning(); err != nil {
--- a/internal/apsoak/inject.go
+++ b/internal/apsoak/inject.go
@@ -105,10 +105,12 @@
 }
 
 // rebirthPause is the time until a worker that is reborn as another kind answers again. Its registration is up to
-// maxEntryDelay later.
+// maxEntryDelay later. It keeps the kind until the end of the load.
 const (
 	rebirthPause  = 500 * time.Millisecond
 	maxEntryDelay = time.Second
+	// rebootTimeout is longer than a machine that was moved or reborn needs to be back.
+	rebootTimeout = 3 * time.Second
 )
 
 // faultWorkers injects a fault into a sample of the workers, and clears it after the step's duration. A crashed or drained
@@ -122,6 +124,7 @@
 			s.emulator.Fleet.Crash(ctx, name, step.Duration)
 		case k == KindWorkerRebirth:
 			delay := time.Duration(random.Float64() * float64(maxEntryDelay))
+			s.noteReborn(name)
 			s.emulator.Fleet.Rebirth(ctx, name, workerKinds[random.IntN(len(workerKinds))], rebirthPause, delay)
 		case k == KindWorkerDrain:
 			s.emulator.Fleet.Drain(ctx, name, drainNotice)
@@ -134,8 +137,6 @@
 	pause(ctx, step.Duration)
 	for _, name := range targets {
 		switch k := step.Kind; {
-		case k == KindWorkerRebirth:
-			s.emulator.Fleet.Rebirth(ctx, name, s.kindOf(name), rebirthPause, 0)
 		case k.between(KindWorkerFails, KindWorkerLate):
 			s.emulator.Fleet.SetWorkerFault(name, apemulator.WorkerFaultNone)
 		case k.between(KindWorkerLinkDelayed, KindWorkerLinkSilenced):
@@ -145,6 +146,23 @@
 	}
 }
 
+func (s *Soak) noteReborn(machine string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reborn[machine] = true
+}
+
+// restoreKinds makes the workers that were reborn come back as the kind that their machine had at the start, so that every
+// label can be found.
+func (s *Soak) restoreKinds(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(s.reborn)) {
+		s.poll(ctx, rebootTimeout, func() bool { return s.emulator.Fleet.WorkerAddresses()[name].IsValid() })
+		s.emulator.Fleet.Rebirth(ctx, name, s.kindOf(name), rebirthPause, 0)
+	}
+}
+
 // signalEntries kills, terminates, pauses or reloads a sample of the entries, or restarts all in turn.
 func (s *Soak) signalEntries(ctx context.Context, step Step, random *rand.Rand) error {
 	targets := sample(s.entries, step.Share, random)
