--- a/pkg/apscheduler/worker.go
+++ b/pkg/apscheduler/worker.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -84,9 +85,8 @@
 	startedAt time.Time
 	// staleInfo is the last registration that named an earlier start time. It is in force if a report has that one.
 	staleInfo apworker.Info
-	// fenceRaiseDue means that the worker has or may have restarted and orders to its earlier process may have had the newest
-	// fence. Until there is a newer one, the worker gets no starts.
-	fenceRaiseDue bool
+	// polledAt is the address of the last poll, reportedFrom that of the last one that was answered with a report.
+	polledAt, reportedFrom netip.AddrPort
 	// hasReported means that the worker has reported to this owner since it last started.
 	hasReported bool
 	// mayHaveRestarted means that a poll has failed since the last report.
@@ -240,7 +240,9 @@
 }
 
 // removeWorker removes a worker from the shard.
-func (s *Shard) removeWorker(id apjob.WorkerID) {
+func (s *Shard) removeWorker(id apjob.WorkerID, now time.Time) {
+	maps.DeleteFunc(s.forgottenAt, func(_ apjob.WorkerID, at time.Time) bool { return now.Sub(at) >= maxCallDelay })
+	s.forgottenAt[id] = now
 	w := s.workers[id]
 	s.logEvent("WorkerForgotten", apjob.RunKey{}, id, map[string]any{"LastEnd": w.lastAppliedEnd, "Stored": w.lastStoredEnd()})
 	delete(s.workers, id)
@@ -287,6 +289,7 @@
 	if !ok {
 		return apworker.PollOrder{}, false
 	}
+	w.polledAt = w.info.Address
 	order := apworker.PollOrder{Fence: s.Fence(id)}
 	if w.mayHaveRestarted {
 		// The number of an end and a deadline mean something else to another process.
@@ -355,13 +358,13 @@
 }
 
 // WorkerReplaced records that another incarnation answers at a worker's address. If the worker has no registration
-// either, the process that has reported there has ended. The address of one that hasn't reported may be outdated.
+// either, the process that has reported there has ended. An address from which none has reported may be outdated or wrong.
 func (s *Shard) WorkerReplaced(id apjob.WorkerID, now time.Time) {
 	s.WorkerUnreachable(id)
 	w, ok := s.workers[id]
-	if !ok || w.registered || !w.hasReported {
+	if !ok || w.registered || !w.hasReported || w.polledAt != w.reportedFrom {
 		return
 	}
 	s.loseAllRuns(w, "Replaced", now)
-	s.removeWorker(id)
+	s.removeWorker(id, now)
 }
