--- a/internal/apcommand/soak.go
+++ b/internal/apcommand/soak.go
@@ -50,19 +50,38 @@
 	command.Flag("steps", "Print each fault when it is injected.").BoolVar(&f.steps)
 }
 
+// allScenarios as --scenario plays all scenarios.
+const allScenarios = "All"
+
 // Bounds of --nodes, which its help text repeats. One host can run more entries than maxSoakNodes: a few hundred.
 const (
 	minSoakNodes = 2
 	maxSoakNodes = 40
 )
 
-func (a *app) soak(ctx context.Context, f soakFlags) error {
+// check refuses bad flags, and a file of coverage that can't be added to, before anything is run.
+func (f *soakFlags) check() error {
 	if f.nodes < minSoakNodes || f.nodes > maxSoakNodes {
 		return apcode.Errorf(apcode.BadValue, "--nodes %d is not within %d to %d", f.nodes, minSoakNodes, maxSoakNodes)
 	}
 	if f.count < 1 || f.duration <= 0 || f.rate <= 0 {
 		return apcode.Errorf(apcode.BadValue, "--count, --duration and --rate must be above 0")
 	}
+	if f.scenario != "" && f.scenario != allScenarios && !slices.Contains(apsoak.ScenarioNames(), f.scenario) {
+		return apcode.Errorf(apcode.BadValue, "--scenario %s is none of %s", f.scenario, strings.Join(apsoak.ScenarioNames(), ", "))
+	}
+	if f.coverage != "" {
+		if _, err := apsoak.ReadCoverageFile(f.coverage); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (a *app) soak(ctx context.Context, f soakFlags) error {
+	if err := f.check(); err != nil {
+		return err
+	}
 	if f.seed == 0 {
 		f.seed = uint64(time.Now().UnixNano()) % 1_000_000
 	}
@@ -88,9 +107,6 @@
 // runSeeds runs the soak once for each seed and prints a table row for each run. It returns InvariantBroken
 // when a run violated an invariant.
 func (a *app) runSeeds(ctx context.Context, f soakFlags) error {
-	if _, err := apsoak.ReadCoverageFile(f.coverage); f.coverage != "" && err != nil {
-		return err
-	}
 	table := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
 	violatingSeeds := 0
 	_, _ = fmt.Fprintln(table, soakHeader)
@@ -122,7 +138,7 @@
 // runScenarios plays the selected scenarios one after the other and prints a table row for each.
 func (a *app) runScenarios(ctx context.Context, f soakFlags) error {
 	names := []string{f.scenario}
-	if f.scenario == "All" {
+	if f.scenario == allScenarios {
 		names = apsoak.ScenarioNames()
 	}
 	table := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
--- a/internal/apsoak/scenario_test.go
+++ b/internal/apsoak/scenario_test.go
@@ -15,25 +15,27 @@
 	"auburnport/pkg/apcode"
 )
 
-// entryBinary builds the entry's program once for all scenarios.
-var entryBinary = sync.OnceValues(func() (string, error) {
+// binaryDir is where entryBinary builds the entry's program, once for all scenarios.
+var (
+	binaryDir   string
+	entryBinary = sync.OnceValues(func() (string, error) {
+		binary := filepath.Join(binaryDir, "auburnport-node")
+		output, err := exec.Command("go", "build", "-o", binary, "auburnport/cmd/auburnport-node").CombinedOutput()
+		if err != nil {
+			return "", fmt.Errorf("build the entry: %w\n%s", err, output)
+		}
+		return binary, nil
+	})
+)
+
+func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "scenarios-")
 	if err != nil {
-		return "", err
+		panic(err)
 	}
-	binary := filepath.Join(dir, "auburnport-node")
-	output, err := exec.Command("go", "build", "-o", binary, "auburnport/cmd/auburnport-node").CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("build the entry: %w\n%s", err, output)
-	}
-	return binary, nil
-})
-
-func TestMain(m *testing.M) {
+	binaryDir = dir
 	code := m.Run()
-	if binary, err := entryBinary(); err == nil {
-		_ = os.RemoveAll(filepath.Dir(binary))
-	}
+	_ = os.RemoveAll(dir)
 	os.Exit(code)
 }
 
