--- a/pkg/apscheduler/report.go
+++ b/pkg/apscheduler/report.go
@@ -51,6 +51,7 @@
 	}
 	restarted := !w.startedAt.IsZero() && !report.StartedAt.Equal(w.startedAt)
 	if restarted {
+		w.endedStart = w.startedAt
 		reported := make(map[apjob.RunKey]bool, len(report.Running)+len(report.Ends))
 		for _, status := range report.Running {
 			reported[status.Run] = true
@@ -226,6 +227,8 @@
 		w.retryAt = now.Add(s.options.MaxResend)
 	case apcode.WorkerGone, apcode.WorkerChanged:
 		w.lastAnswerAt = time.Time{}
+	case apcode.BadTicket:
+		s.dropTicket(run.Task.StepID(), w.info.ID)
 	default:
 	}
 	s.taskEnded(run, w.info.ID, apworker.EndStopped, o.checkpoint, now)
