apowner: mixed faults include paused owners, one-way cuts, slow and soon late calls, and registrations of other writers

The simulation drew late calls of 2 s and more only, so none was carried out before the caller's next poll, and no owner stood still. New: calls and answers that are slow, late calls from 0.2 s on, workers whose answers are lost, workers that refuse connections while their registration lapses and the store works, paused entries, watches without history, registrations of another writer, and addresses that another worker has left. A worker that listens at an address answers for another one with WorkerChanged, as the platform does.

Two faults of one entry could overlap, so that two processes of its name ran until the end of the test. An entry now has one fault at a time.

--- a/internal/apowner/fakepool_test.go
+++ b/internal/apowner/fakepool_test.go
@@ -165,6 +165,9 @@
 	if s.silent {
 		return nil, apcode.Errorf(apcode.WorkerSilent, "%s does not answer", to.ID)
 	}
+	if s.address.IsValid() && s.address != to.Address && p.listensAt(to.Address) {
+		return nil, apcode.Errorf(apcode.WorkerChanged, "%s belongs to another worker than %s", to.Address, to.ID)
+	}
 	if s.down || s.address.IsValid() && s.address != to.Address {
 		return nil, apcode.Errorf(apcode.WorkerGone, "nothing listens at %s for %s", to.Address, to.ID)
 	}
@@ -176,6 +179,16 @@
 	return s, nil
 }
 
+// listensAt reports whether a worker is up at an address.
+func (p *fakePool) listensAt(address netip.AddrPort) bool {
+	for _, s := range p.workers {
+		if s.address == address && !s.down && !s.silent {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *fakeWorker) clock() time.Duration {
 	passed := time.Since(s.processStartedAt)
 	return passed - time.Duration(float64(passed)*s.drift)
--- a/internal/apowner/mixed_client_test.go
+++ b/internal/apowner/mixed_client_test.go
@@ -27,11 +27,13 @@
 // fakeNetwork loses, delays and refuses calls of entries to workers.
 type fakeNetwork struct {
 	mu sync.Mutex
-	// cut holds the links whose calls are lost, refused those whose connections are refused.
-	cut, refused map[link]bool
+	// cut holds the links whose calls are lost, oneWay those whose answers are lost, refused those whose connections are refused.
+	cut, oneWay, refused map[link]bool
+	// paused holds the entries whose process is stopped.
+	paused map[apfleet.EntryName]bool
 	// lostRate is the share of calls that are carried out and whose answer is lost, lateRate that of those that are
-	// carried out seconds later.
-	lostRate, lateRate float64
+	// carried out up to 12 s later, slowRate that of those that are slow, before or after they are carried out.
+	lostRate, lateRate, slowRate float64
 	// Late starts and late polls may be carried out by a worker's next process. Ends of that process may be acknowledged
 	// by a poll that was sent before its sender knew of the restart.
 	startsReachNextProcess bool
@@ -43,7 +45,10 @@
 }
 
 func newFakeNetwork(seed uint64) *fakeNetwork {
-	return &fakeNetwork{seed: seed, cut: map[link]bool{}, refused: map[link]bool{}, streams: map[link]*rand.Rand{}}
+	return &fakeNetwork{
+		seed: seed, cut: map[link]bool{}, oneWay: map[link]bool{}, refused: map[link]bool{}, paused: map[apfleet.EntryName]bool{},
+		streams: map[link]*rand.Rand{},
+	}
 }
 
 // set changes whether the links in a set are cut or refused.
@@ -58,7 +63,27 @@
 // fate is what becomes of a call.
 type fate struct {
 	cut, refused, lost, late bool
-	delay                    time.Duration
+	// delay is that of a late call, slowBefore and slowAfter those of a slow one and of its answer.
+	delay, slowBefore, slowAfter time.Duration
+}
+
+// setPaused stops the process of an entry, or lets it go on.
+func (n *fakeNetwork) setPaused(entry apfleet.EntryName, paused bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.paused[entry] = paused
+}
+
+// awaitProcess waits while the process of an entry is stopped.
+func (n *fakeNetwork) awaitProcess(ctx context.Context, entry apfleet.EntryName) {
+	for {
+		n.mu.Lock()
+		paused := n.paused[entry]
+		n.mu.Unlock()
+		if !paused || !apstore.Sleep(ctx, 10*time.Millisecond) {
+			return
+		}
+	}
 }
 
 // draw returns the fate of a call.
@@ -75,18 +100,28 @@
 		n.streams[l] = random
 	}
 	share := random.Float64()
-	delay := 2*time.Second + time.Duration(random.Int64N(int64(10*time.Second)))
-	return fate{
+	delay := 200*time.Millisecond + time.Duration(random.Int64N(int64(1800*time.Millisecond)))
+	if random.IntN(2) == 0 {
+		delay = 2*time.Second + time.Duration(random.Int64N(int64(10*time.Second)))
+	}
+	f := fate{
 		cut: n.cut[l], refused: n.refused[l], delay: delay,
 		lost: share < n.lostRate, late: share >= n.lostRate && share < n.lostRate+n.lateRate,
 	}
+	if random.Float64() < n.slowRate {
+		f.slowBefore = time.Duration(random.Int64N(int64(time.Second)))
+	}
+	if random.Float64() < n.slowRate {
+		f.slowAfter = time.Duration(random.Int64N(int64(400 * time.Millisecond)))
+	}
+	return f
 }
 
-// isCut reports whether a link is cut or refused.
-func (n *fakeNetwork) isCut(l link) bool {
+// losesAnswers reports whether the answers on a link don't arrive.
+func (n *fakeNetwork) losesAnswers(l link) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.cut[l] || n.refused[l]
+	return n.cut[l] || n.oneWay[l] || n.refused[l]
 }
 
 // networkClient is an entry's client of the workers, for one ownership of a shard.
@@ -113,8 +148,9 @@
 // send makes a call to a worker.
 func send[T any](ctx context.Context, c networkClient, call workerCall, do func(context.Context) (T, error)) (T, error) {
 	l := link{c.entry, call.to.ID}
-	f := c.network.draw(l)
 	sentAt := time.Now()
+	c.network.awaitProcess(ctx, c.entry)
+	f := c.network.draw(l)
 	var answer T
 	var err error
 	switch {
@@ -134,8 +170,9 @@
 		})
 		err = apcode.Errorf(apcode.WorkerSilent, "no answer from %s", l.worker)
 	default:
-		answer, err = do(ctx)
-		if f.lost || c.network.isCut(l) {
+		answer, err = sendSlowly(ctx, c, call, f, do)
+		c.network.awaitProcess(ctx, c.entry)
+		if f.lost || c.network.losesAnswers(l) || time.Since(sentAt) > call.timeout {
 			c.history.add(call.run, l.worker, string(c.entry), "answer to %s lost: %v", call.name, err)
 			var none T
 			answer, err = none, apcode.Errorf(apcode.WorkerSilent, "no answer from %s", l.worker)
@@ -147,6 +184,32 @@
 	return answer, err
 }
 
+// sendSlowly makes a call that may be slow. It is carried out although its sender may have given it up.
+func sendSlowly[T any](ctx context.Context, c networkClient, call workerCall, f fate, do func(context.Context) (T, error)) (T, error) {
+	type result struct {
+		answer T
+		err    error
+	}
+	answered := make(chan result, 1)
+	process := c.processStart(call.to.ID)
+	time.AfterFunc(f.slowBefore, func() {
+		var r result
+		if f.slowBefore > 0 && !call.reachesNext && !c.processStart(call.to.ID).Equal(process) {
+			r.err = apcode.Errorf(apcode.WorkerSilent, "no answer from %s", call.to.ID)
+		} else {
+			r.answer, r.err = do(context.WithoutCancel(ctx))
+		}
+		time.AfterFunc(f.slowAfter, func() { answered <- r })
+	})
+	select {
+	case r := <-answered:
+		return r.answer, r.err
+	case <-ctx.Done():
+		var none T
+		return none, apcode.Errorf(apcode.WorkerSilent, "the call to %s was given up", call.to.ID)
+	}
+}
+
 func (p *fakePool) processStart(id apjob.WorkerID) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -154,6 +217,7 @@
 }
 
 func (c networkClient) Start(ctx context.Context, to apworker.Target, order apworker.StartOrder) (apworker.Reply, error) {
+	c.network.awaitProcess(ctx, c.entry)
 	if err := c.permit.Check(callTimeout); err != nil {
 		return apworker.Reply{}, err
 	}
@@ -186,7 +250,9 @@
 func (n *fakeNetwork) calm() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.lostRate, n.lateRate = 0, 0
+	n.lostRate, n.lateRate, n.slowRate = 0, 0, 0
 	clear(n.cut)
+	clear(n.oneWay)
+	clear(n.paused)
 	clear(n.refused)
 }
--- a/internal/apowner/mixed_faults_test.go
+++ b/internal/apowner/mixed_faults_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"auburnport/pkg/apfleet"
@@ -29,7 +31,7 @@
 
 // disturbStore lets the store fail for all entries.
 func (p *mixedPlay) disturbStore(ctx context.Context, random *rand.Rand) {
-	switch random.IntN(3) {
+	switch random.IntN(4) {
 	case 0:
 		lapsed := map[apjob.WorkerID]bool{}
 		p.faults.down.Store(true)
@@ -54,6 +56,11 @@
 		apstore.Sleep(ctx, between(random, 3*time.Second, 12*time.Second))
 		p.faults.lossy.Store(false)
 		p.log("", "writes answered again")
+	case 2:
+		p.faults.forgetful.Store(true)
+		p.log("", "watches lose their history")
+		apstore.Sleep(ctx, between(random, 500*time.Millisecond, 4*time.Second))
+		p.faults.forgetful.Store(false)
 	default:
 		p.faults.delay.Store(int64(between(random, 50*time.Millisecond, 500*time.Millisecond)))
 		apstore.Sleep(ctx, between(random, 2*time.Second, 6*time.Second))
@@ -61,14 +68,19 @@
 	}
 }
 
-// disturbEntry cuts an entry off from the store, ends its lease, or ends its process and starts another under its name.
+// disturbEntry cuts an entry off from the store, ends its lease, stops its process for a while, or ends it and starts another
+// under its name.
 func (p *mixedPlay) disturbEntry(ctx context.Context, random *rand.Rand) {
 	e := pick(random, p.entries)
+	if !e.disturbed.TryLock() {
+		return
+	}
+	defer e.disturbed.Unlock()
 	e.mu.Lock()
 	store, stop, ended := e.store, e.stop, e.ended
 	e.mu.Unlock()
-	kind := random.IntN(4)
-	p.log("", "%s: %s", e.name, []string{"cut off from the store", "lease ended by the store", "stopped", "killed"}[kind])
+	kind := random.IntN(5)
+	p.log("", "%s: %s", e.name, []string{"cut off from the store", "lease ended by the store", "stopped", "paused", "killed"}[kind])
 	switch kind {
 	case 0:
 		store.cutOff.Store(true)
@@ -84,6 +96,13 @@
 		<-ended
 		apstore.Sleep(ctx, between(random, 0, 2*time.Second))
 		p.startEntry(e, random)
+	case 3:
+		store.paused.Store(true)
+		p.network.setPaused(e.name, true)
+		apstore.Sleep(ctx, between(random, 300*time.Millisecond, 9*time.Second))
+		p.network.setPaused(e.name, false)
+		store.paused.Store(false)
+		p.log("", "%s: goes on", e.name)
 	default:
 		links := p.linksOf(e.name)
 		store.cutOff.Store(true)
@@ -155,10 +174,10 @@
 	}
 }
 
-// disturbRegistration lets a registration lapse, or be written late.
+// disturbRegistration lets a registration lapse, be written late, or be overwritten by another writer.
 func (p *mixedPlay) disturbRegistration(ctx context.Context, random *rand.Rand) {
 	id := pick(random, p.workers)
-	switch random.IntN(3) {
+	switch random.IntN(5) {
 	case 0:
 		p.unregister(id)
 		apstore.Sleep(ctx, between(random, 100*time.Millisecond, 500*time.Millisecond))
@@ -166,6 +185,16 @@
 	case 1:
 		p.unregister(id)
 		time.AfterFunc(between(random, 500*time.Millisecond, 6*time.Second), func() { p.registerAgain(id) })
+	case 2:
+		value := p.foreignValue(random)
+		p.log(id, "registration of another writer: %s", value)
+		p.write(id, value)
+		apstore.Sleep(ctx, between(random, 100*time.Millisecond, 2*time.Second))
+		if random.IntN(2) == 0 {
+			p.unregister(id)
+			apstore.Sleep(ctx, between(random, 100*time.Millisecond, 2*time.Second))
+			p.registerAgain(id)
+		}
 	default:
 		value := p.value(id)
 		time.AfterFunc(between(random, 500*time.Millisecond, 6*time.Second), func() {
@@ -175,6 +204,15 @@
 	}
 }
 
+// foreignValue returns a registration that names no address, or the address of some worker, with a start time or without one.
+func (p *mixedPlay) foreignValue(random *rand.Rand) []byte {
+	if random.IntN(2) == 0 {
+		return []byte{1}
+	}
+	address, _, _ := strings.Cut(string(p.value(pick(random, p.workers))), " ")
+	return fmt.Appendf(nil, "%s %d", address, time.Now().Add(time.Duration(random.IntN(10)-5)*time.Second).UnixNano())
+}
+
 // disturbWorker lets a worker fall silent, refuse connections, be cut off, or start again.
 func (p *mixedPlay) disturbWorker(ctx context.Context, random *rand.Rand) {
 	id := pick(random, p.workers)
@@ -184,9 +222,9 @@
 		all = append(all, link{e.name, id})
 	}
 	lasts := between(random, time.Second, 8*time.Second)
-	kind := random.IntN(7)
-	if kind >= 5 && !p.script.workersRestart {
-		kind = random.IntN(5)
+	kind := random.IntN(9)
+	if kind >= 7 && !p.script.workersRestart {
+		kind = random.IntN(7)
 	}
 	switch kind {
 	case 0:
@@ -203,6 +241,14 @@
 	case 4:
 		p.cut(ctx, p.network.cut, "is cut off from", lasts, id, all...)
 	case 5:
+		p.cut(ctx, p.network.oneWay, "loses its answers to", lasts, id, pick(random, [][]link{all, {one}})...)
+	case 6:
+		lapse := time.AfterFunc(between(random, 0, lasts), func() { p.unregister(id) })
+		p.cut(ctx, p.network.refused, "refuses", lasts, id, pick(random, [][]link{all, {one}})...)
+		if !lapse.Stop() {
+			p.registerAgain(id)
+		}
+	case 7:
 		p.restartWorker(ctx, id, random)
 	default:
 		time.AfterFunc(between(random, 0, lasts), func() { p.restartWorker(ctx, id, rand.New(rand.NewPCG(p.script.seed, uint64(lasts)))) })
@@ -233,13 +279,14 @@
 	p.pool.mu.Lock()
 	old := p.pool.workers[id]
 	p.pool.mu.Unlock()
+	address := old.address
+	if p.script.addressesChange && random.IntN(3) == 0 {
+		address = p.nextAddress(random, old.address)
+	}
 	p.pool.restart(id)
 	p.pool.mu.Lock()
 	s := p.pool.workers[id]
-	s.address, s.drift = old.address, p.script.maxDrift*random.Float64()
-	if p.script.addressesChange && random.IntN(3) == 0 {
-		s.address = p.newAddress()
-	}
+	s.address, s.drift = address, p.script.maxDrift*random.Float64()
 	p.pool.mu.Unlock()
 	p.log(id, "next process starts at %s", s.address)
 	switch random.IntN(3) {
--- a/internal/apowner/mixed_script_test.go
+++ b/internal/apowner/mixed_script_test.go
@@ -34,8 +34,8 @@
 	faultsFor time.Duration
 	// The numbers of faults of each kind that are played side by side.
 	storeTracks, entryTracks, registrationTracks, workerTracks int
-	// lostRate and lateRate are those of the network.
-	lostRate, lateRate float64
+	// lostRate, lateRate and slowRate are those of the network.
+	lostRate, lateRate, slowRate float64
 	// Those of the network.
 	startsReachNextProcess bool
 	pollsReachNextProcess  bool
@@ -52,7 +52,7 @@
 	return mixedScript{
 		seed: seed, faultsFor: time.Duration(25+random.IntN(25)) * time.Second,
 		storeTracks: random.IntN(2), entryTracks: random.IntN(3), registrationTracks: random.IntN(3), workerTracks: 1 + random.IntN(3),
-		lostRate: 0.1 * random.Float64(), lateRate: 0.1 * random.Float64(),
+		lostRate: 0.1 * random.Float64(), lateRate: 0.1 * random.Float64(), slowRate: 0.2 * random.Float64(),
 		startsReachNextProcess: startsReachNextProcess, pollsReachNextProcess: pollsReachNextProcess, acksReachNextProcess: acksReachNextProcess,
 		workersRestart: random.IntN(4) > 0, addressesChange: random.IntN(2) == 0, maxDrift: 0.02,
 	}
@@ -74,11 +74,16 @@
 	// unregistered counts the reasons why a worker has no registration at the moment.
 	unregistered map[apjob.WorkerID]int
 	lastPort     uint16
+	// freed holds the addresses that workers have left.
+	freed []netip.AddrPort
 }
 
 // mixedEntry is an entry, which claims the shard when it is its turn.
 type mixedEntry struct {
-	name  apfleet.EntryName
+	name apfleet.EntryName
+	// disturbed is held during a fault of the entry, so that there is one process of its name at a time.
+	disturbed sync.Mutex
+
 	mu    sync.Mutex
 	store *faultyStore
 	stop  context.CancelFunc
@@ -99,7 +104,7 @@
 		script: script, t: t, store: memory.TransactionalStore{Store: memory.New()}, faults: &storeFaults{}, pool: newFakePool(t, script.seed, mixedWorkers),
 		network: newFakeNetwork(script.seed), history: newHistory(script.seed), unregistered: map[apjob.WorkerID]int{}, lastPort: 1000,
 	}
-	p.network.lostRate, p.network.lateRate = script.lostRate, script.lateRate
+	p.network.lostRate, p.network.lateRate, p.network.slowRate = script.lostRate, script.lateRate, script.slowRate
 	p.network.pollsReachNextProcess = script.pollsReachNextProcess
 	p.network.startsReachNextProcess, p.network.acksReachNextProcess = script.startsReachNextProcess, script.acksReachNextProcess
 	p.pool.history = p.history
@@ -137,6 +142,18 @@
 	return time.Duration(500+random.IntN(1500)) * time.Millisecond
 }
 
+// nextAddress returns the address of a worker's next process, which may be one that another worker has left.
+func (p *mixedPlay) nextAddress(random *rand.Rand, left netip.AddrPort) netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	address := p.newAddress()
+	if n := len(p.freed); n > 0 && random.IntN(2) == 0 {
+		address, p.freed = p.freed[n-1], p.freed[:n-1]
+	}
+	p.freed = append(p.freed, left)
+	return address
+}
+
 func (p *mixedPlay) newAddress() netip.AddrPort {
 	p.lastPort++
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), p.lastPort)
--- a/internal/apowner/mixed_store_test.go
+++ b/internal/apowner/mixed_store_test.go
@@ -17,6 +17,8 @@
 	down, lossy atomic.Bool
 	// delay is how long each write takes.
 	delay atomic.Int64
+	// forgetful means that watches have lost their history.
+	forgetful atomic.Bool
 }
 
 // faultyStore is the store as an entry sees it.
@@ -24,8 +26,8 @@
 	apstore.TransactionalStore
 	faults *storeFaults
 	lossy  *lossyStore
-	// cutOff means that this entry can't reach the store.
-	cutOff atomic.Bool
+	// cutOff means that this entry can't reach the store, paused that its process is stopped.
+	cutOff, paused atomic.Bool
 	// lease is the last lease of the entry.
 	lease atomic.Uint64
 }
@@ -37,6 +39,8 @@
 
 // check returns an error after a while if the store can't be reached.
 func (f *faultyStore) check(ctx context.Context) error {
+	for f.paused.Load() && apstore.Sleep(ctx, 10*time.Millisecond) {
+	}
 	if !f.faults.down.Load() && !f.cutOff.Load() {
 		return nil
 	}
@@ -62,6 +66,10 @@
 	if err := f.check(ctx); err != nil {
 		return apstore.Feed{}, err
 	}
+	if f.faults.forgetful.Load() {
+		apstore.Sleep(ctx, 20*time.Millisecond)
+		return apstore.Feed{}, apcode.Errorf(apcode.StoreHistoryLost, "no history")
+	}
 	feed, err := f.TransactionalStore.WatchChanges(ctx, prefix, after, wait)
 	if lost := f.check(ctx); lost != nil {
 		return apstore.Feed{}, lost
--- a/internal/apowner/mixed_test.go
+++ b/internal/apowner/mixed_test.go
@@ -77,6 +77,8 @@
 	}
 	stopRegistering()
 	assert.NilError(t, registered.Wait())
+	// The polls that the entries have given up.
+	time.Sleep(5 * time.Second)
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
 	assert.Assert(t, p.pool.starts >= mixedJobs*mixedTasks, "seed %d: only %d runs started", p.script.seed, p.pool.starts)
