--- a/internal/apnode/apnode_test.go
+++ b/internal/apnode/apnode_test.go
@@ -69,6 +69,8 @@
 	*apemulator.Emulator
 	t    *testing.T
 	node *apnode.Node
+	// stop ends the entry.
+	stop context.CancelFunc
 	// exited receives the result of the entry's Run.
 	exited   chan error
 	settings apadapter.Settings
@@ -103,13 +105,16 @@
 	machines, err := e.ServeMachines()
 	assert.NilError(t, err)
 	ip := uniqueLoopback()
-	e.settings, err = apadapter.ParseSettings(e.Settings(name, netip.AddrPortFrom(ip, 8624), netip.AddrPortFrom(ip, 8622), 7060, store, machines))
+	e.settings, err = apadapter.ParseSettings(e.Settings(apemulator.EntrySettings{
+		Name: name, Callers: netip.AddrPortFrom(ip, 8624), Readiness: netip.AddrPortFrom(ip, 8622), FirstPort: 7060, Store: store, Machines: machines,
+	}))
 	assert.NilError(t, err)
 	logger, err := aplog.New(&e.log, "info", aplog.FormatText)
 	assert.NilError(t, err)
 	e.node = apnode.New(e.settings, logger)
 	e.caller = e.NewCaller()
 	ctx, stop := context.WithCancel(t.Context())
+	e.stop = stop
 	group := &errgroup.Group{}
 	e.exited = make(chan error, 1)
 	group.Go(func() error {
--- a/internal/apnode/providers.go
+++ b/internal/apnode/providers.go
@@ -55,6 +55,7 @@
 func newIntake(r *reporter, relay *aprelay.Store, settings apadapter.Settings) *apintake.Intake {
 	options := apintake.DefaultOptions()
 	options.MaxSettingsAge = time.Duration(settingsAgeRatio * float64(settings.Bounds.MaxConfigDelay))
+	options.TombstoneTTL = max(options.TombstoneTTL, settings.MinTTL)
 	return apintake.New(relay, options, r.logRequest)
 }
 
@@ -76,6 +77,7 @@
 	membership.TTL = max(membership.TTL, settings.MinTTL)
 	membership.Weight = int(settings.CPUShare * weightPerCore)
 	membership.Relay = relayAddress(settings)
+	n.former = apmember.NewFormer(store, n.logEvent)
 	n.member = apmember.New(store, settings.Node, n.requiredShards, n.runShard, n.logEvent, membership)
 	p.member.Store(n.member)
 	return n
--- a/pkg/apjournal/keys.go
+++ b/pkg/apjournal/keys.go
@@ -63,8 +63,20 @@
 	return progressPrefix(shard) + apfleet.Key(id)
 }
 
+// LocationKey returns the key of a job's location, which doesn't depend on any settings.
+func LocationKey(id apjob.ID) apfleet.Key { return prefix + "location/" + apfleet.Key(id) }
+
+// PrefixWaiting holds the counts of waiting jobs of each shard.
+const PrefixWaiting apfleet.Key = prefix + "waiting/"
+
 // WaitingKey returns the key of the shard's counts of waiting jobs.
-func WaitingKey(shard Shard) apfleet.Key { return prefix + "waiting/" + apfleet.Key(shard) }
+func WaitingKey(shard Shard) apfleet.Key { return PrefixWaiting + apfleet.Key(shard) }
+
+// ParseWaitingKey returns the shard in a key made by WaitingKey.
+func ParseWaitingKey(key apfleet.Key) (Shard, bool) {
+	name, ok := strings.CutPrefix(string(key), string(PrefixWaiting))
+	return Shard(name), ok
+}
 
 // Prefixes of the records that the machine controller and the owners of pools exchange.
 const (
--- a/pkg/apscheduler/apscheduler.go
+++ b/pkg/apscheduler/apscheduler.go
@@ -107,13 +107,19 @@
 	sortedWorkers []*worker
 	// pathBuffer is reused by criticalPath to avoid allocations.
 	pathBuffer []time.Duration
-	queues     map[apjob.Queue]Queue
+	// queues holds the settings of the queues in force, formerQueues the last ones of those that were removed.
+	queues       map[apjob.Queue]Queue
+	formerQueues map[apjob.Queue]Queue
+	// queuesChanged means that the settings of queues were replaced since the last call of Plan.
+	queuesChanged bool
 	// cordoned workers get no new runs and are evacuated in ascending order of their numbers. lastCordon
 	// is the highest number given out.
 	cordoned   map[apjob.WorkerID]int
 	lastCordon int
 	// avoided workers will be evacuated soon, so long-running tasks are placed elsewhere if possible.
 	avoided map[apjob.WorkerID]bool
+	// reservedSince is when each step that workers were reserved for in the last Plan got its reservation.
+	reservedSince map[apjob.StepID]time.Time
 	// queuedRecords lists the jobs whose progress is to be stored in the next batches, oldest first.
 	queuedRecords []apjob.ID
 	// deferredRecords lists the jobs whose only unstored changes are run ends that nothing depends on,
@@ -166,9 +172,6 @@
 	}
 }
 
-// SetQueues replaces the settings of all queues.
-func (s *Shard) SetQueues(queues map[apjob.Queue]Queue) { s.queues = queues }
-
 // TakeEvents returns the events since the last call and clears them.
 func (s *Shard) TakeEvents() []Event {
 	events := s.events
