Tests of the scheduler: give each drawn world its own revisions

The drawn worlds run in parallel and shared the counter of the store's revisions: go test -race reported a data race in the test (not in the scheduler). Each world now counts its own. No check changes; -race passes.

--- a/pkg/apscheduler/world_test.go
+++ b/pkg/apscheduler/world_test.go
@@ -10,6 +10,7 @@
 	"auburnport/pkg/apcode"
 	"auburnport/pkg/apjob"
 	"auburnport/pkg/apscheduler"
+	"auburnport/pkg/apstore"
 	"auburnport/pkg/apworker"
 )
 
@@ -27,6 +28,8 @@
 	workers []*drawnWorker
 	jobs    []*drawnJob
 	pending []drawnAnswer
+	// revision is that of the last write.
+	revision apstore.Revision
 	// log holds the shard's events.
 	log []string
 	// problem tells of a run on a worker that isn't of its kind, "" while there is none.
@@ -109,7 +112,10 @@
 	}
 	w.advise()
 	w.shard.Plan(w.now, w.now)
-	storeAll(w.shard)
+	for w.shard.HasBatch() {
+		w.revision++
+		w.shard.BatchStored(w.shard.NextBatch(), w.revision)
+	}
 	w.note()
 	for _, question := range w.shard.TakeQuestions() {
 		w.pending = append(w.pending, drawnAnswer{at: w.now.Add(w.between(0, 300*time.Millisecond)), question: question})
