--- a/pkg/apscheduler/place_property_test.go
+++ b/pkg/apscheduler/place_property_test.go
@@ -85,10 +85,16 @@
 	if !w.isWaiting(j, id) {
 		return 0
 	}
-	now, nowNotWithheld, later := 0, 0, 0
+	now := 0
+	for _, d := range w.workers {
+		now += w.countTasks(j, id, d, w.freeRoom(d, false))
+	}
+	if now < tasks {
+		return 0
+	}
+	nowNotWithheld, later := 0, 0
 	for _, d := range w.workers {
 		fits := w.countTasks(j, id, d, w.freeRoom(d, false))
-		now += fits
 		quarantined, withheld := w.now.Before(d.quarantinedUntil), w.isWithheld(d, id)
 		if !withheld {
 			nowNotWithheld += fits
@@ -97,14 +103,10 @@
 			later += w.countTasks(j, id, d, w.freeRoom(d, true))
 		}
 	}
-	switch {
-	case now < tasks:
-		return 0
-	case nowNotWithheld >= tasks || later < tasks:
+	if nowNotWithheld >= tasks || later < tasks {
 		return placeBound
-	default:
-		return withheldBound
 	}
+	return withheldBound
 }
 
 // isWaiting reports whether a task's turn has come and no run of it, or of its gang, is anywhere.
--- a/pkg/apscheduler/world_test.go
+++ b/pkg/apscheduler/world_test.go
@@ -1,6 +1,7 @@
 package apscheduler_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -215,7 +216,9 @@
 		runs = append(runs, run)
 	}
 	slices.SortFunc(runs, func(a, b apjob.RunKey) int {
-		return strings.Compare(fmt.Sprint(a), fmt.Sprint(b))
+		return cmp.Or(
+			cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Step, b.Task.Step), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Run, b.Run),
+		)
 	})
 	return runs
 }
