--- a/pkg/apscheduler/world_test.go
+++ b/pkg/apscheduler/world_test.go
@@ -1,6 +1,7 @@
 package apscheduler_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -10,6 +11,7 @@
 	"auburnport/pkg/apcode"
 	"auburnport/pkg/apjob"
 	"auburnport/pkg/apscheduler"
+	"auburnport/pkg/apstore"
 	"auburnport/pkg/apworker"
 )
 
@@ -27,6 +29,8 @@
 	workers []*drawnWorker
 	jobs    []*drawnJob
 	pending []drawnAnswer
+	// revision is that of the last write.
+	revision apstore.Revision
 	// log holds the shard's events.
 	log []string
 	// problem tells of a run on a worker that isn't of its kind, "" while there is none.
@@ -109,7 +113,10 @@
 	}
 	w.advise()
 	w.shard.Plan(w.now, w.now)
-	storeAll(w.shard)
+	for w.shard.HasBatch() {
+		w.revision++
+		w.shard.BatchStored(w.shard.NextBatch(), w.revision)
+	}
 	w.note()
 	for _, question := range w.shard.TakeQuestions() {
 		w.pending = append(w.pending, drawnAnswer{at: w.now.Add(w.between(0, 300*time.Millisecond)), question: question})
@@ -209,7 +216,9 @@
 		runs = append(runs, run)
 	}
 	slices.SortFunc(runs, func(a, b apjob.RunKey) int {
-		return strings.Compare(fmt.Sprint(a), fmt.Sprint(b))
+		return cmp.Or(
+			cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Step, b.Task.Step), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Run, b.Run),
+		)
 	})
 	return runs
 }
