--- a/internal/apcommand/soak.go
+++ b/internal/apcommand/soak.go
@@ -196,10 +196,10 @@
 }
 
 // maxPrintedViolations limits how many groups of violations are printed for one seed, maxPrintedLines how many lines of a
-// job's history.
+// job's history: the first and the last ones.
 const (
 	maxPrintedViolations = 20
-	maxPrintedLines      = 120
+	maxPrintedLines      = 160
 )
 
 // printViolations prints the injected faults of a run, the invariants that it violated, the command that plays it again, and
@@ -221,9 +221,14 @@
 	_, _ = fmt.Fprintln(a.out, "  play again:", replay)
 	for _, id := range slices.Sorted(maps.Keys(report.Histories)) {
 		lines := report.Histories[id]
-		_, _ = fmt.Fprintf(a.out, "  history of job %s, the last %d of %d lines:\n", id, min(len(lines), maxPrintedLines), len(lines))
-		for _, line := range lines[max(0, len(lines)-maxPrintedLines):] {
-			_, _ = fmt.Fprintln(a.out, "   ", line)
+		_, _ = fmt.Fprintf(a.out, "  history of job %s:\n", id)
+		for i, line := range lines {
+			switch rest := len(lines) - i; {
+			case i < maxPrintedLines/2 || rest <= maxPrintedLines/2:
+				_, _ = fmt.Fprintln(a.out, "   ", line)
+			case i == maxPrintedLines/2:
+				_, _ = fmt.Fprintf(a.out, "              ... %d lines ...\n", rest-maxPrintedLines/2)
+			}
 		}
 	}
 }
--- a/internal/apsoak/apsoak.go
+++ b/internal/apsoak/apsoak.go
@@ -9,6 +9,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"slices"
@@ -132,9 +133,13 @@
 	if err := s.configure(ctx); err != nil {
 		return err
 	}
-	machines, err := s.emulator.ServeMachines()
-	if err != nil {
-		return err
+	var machines netip.AddrPort
+	if s.scenario == nil {
+		// In scenarios the pools keep their machines.
+		var err error
+		if machines, err = s.emulator.ServeMachines(); err != nil {
+			return err
+		}
 	}
 	for i := range s.options.Nodes {
 		p, err := newEntryProcess(s.emulator, i, machines, dir, s.options, group)
--- a/internal/apsoak/entry.go
+++ b/internal/apsoak/entry.go
@@ -28,7 +28,7 @@
 // entryProcess is one entry: its process, which can be restarted, and the proxy between it and the store.
 type entryProcess struct {
 	name string
-	// settings is the path of the settings file, machines the address of the machine service.
+	// settings is the path of the settings file, machines the address of the machine service, if there is one.
 	settings       string
 	machines       netip.AddrPort
 	binary         string
--- a/internal/apsoak/load_draw.go
+++ b/internal/apsoak/load_draw.go
@@ -152,6 +152,13 @@
 	return steps
 }
 
+// harmlessImage and harmfulImage are images of backfill tasks. One task of harmfulImage leaves the serving tasks beside it
+// below their latency targets in the emulator, two don't.
+const (
+	harmlessImage = "batch-7"
+	harmfulImage  = "batch-2"
+)
+
 // featureSteps draws the steps of a job with a feature. They are smaller than those of other jobs, so that features which
 // restrict the choice of workers leave room.
 func featureSteps(random *rand.Rand, f Feature, duration time.Duration) []apjob.Step {
@@ -175,7 +182,7 @@
 	case FeatureServing:
 		step.LatencyTarget, step.Image = 200*time.Millisecond, "serving"
 	case FeatureBackfill:
-		step.Backfill, step.Image = true, "backfill"
+		step.Backfill, step.Image = true, []string{harmlessImage, harmfulImage}[random.IntN(2)]
 	case FeatureInputs:
 		return []apjob.Step{step, step, {Count: 1, Need: step.Need, After: []int{0, 1}, Estimate: step.Estimate}}
 	case FeatureMaxPerWorker:
