--- a/pkg/apscheduler/worker.go
+++ b/pkg/apscheduler/worker.go
@@ -178,6 +178,10 @@
 	if w.hasReported && info.StartedAt.After(w.startedAt) && !w.startedAt.IsZero() && !info.StartedAt.Equal(w.info.StartedAt) {
 		s.PollFailed(info.ID)
 	}
+	if !info.StartedAt.IsZero() && info.StartedAt.Equal(w.info.StartedAt) {
+		// A process that has announced that it will stop does so. The registration was written late.
+		info.Draining = info.Draining || w.info.Draining
+	}
 	startsDraining := info.Draining && !w.info.Draining
 	w.info = info
 	w.registered = true
