--- a/internal/apsoak/feature.go
+++ b/internal/apsoak/feature.go
@@ -51,6 +51,9 @@
 	return f == FeatureLongRunning || f == FeatureEndsDone || f == FeatureServing
 }
 
+// changesQueue reports whether the feature is that of a queue which changes.
+func (f Feature) changesQueue() bool { return f >= FeatureQueueMoves && f < featureCount }
+
 // FeatureSet is a set of features; its zero value is empty.
 type FeatureSet uint32
 
--- a/internal/apsoak/load_draw.go
+++ b/internal/apsoak/load_draw.go
@@ -25,7 +25,7 @@
 const plainProbability = 0.3
 
 // GenerateLoad generates the jobs of a run, in the order of their times. Each job with a feature takes the next one in
-// turn. Long-running ones come at the start.
+// turn. Long-running ones come at the start, and so does one in each queue that changes.
 func GenerateLoad(options Options, script []Step) []Arrival {
 	random := rand.New(rand.NewPCG(options.Seed, 2))
 	var arrivals []Arrival
@@ -33,7 +33,7 @@
 		arrivals = append(arrivals, drawArrival(random, f, at, configsBefore(script, at)))
 	}
 	for f := range featureCount {
-		if f.lasts() {
+		if f.lasts() || f.changesQueue() {
 			add(f, 0)
 		}
 	}
@@ -130,8 +130,11 @@
 	case FeatureEndsDone:
 		a.Submission.EndsDone = true
 		a.Submission.TaskDuration += 1500 * time.Millisecond
-	case FeatureQueueMoves, FeatureQueueRemoved, FeatureQueueReturns:
+	case FeatureQueueMoves, FeatureQueueRemoved:
 		a.Submission.TaskDuration *= 2
+	case FeatureQueueReturns:
+		// The job has to last from before the removal until after the return.
+		a.Submission.TaskDuration += 2 * time.Second
 	default:
 	}
 }
--- a/internal/apsoak/script.go
+++ b/internal/apsoak/script.go
@@ -42,7 +42,7 @@
 )
 
 // configTimes are the times of the configurations that every run commits, as fractions of the run.
-var configTimes = []float64{0.3, 0.6}
+var configTimes = []float64{0.25, 0.4}
 
 // GenerateScript generates the steps of a run at random and returns them in the order of their times. The first step of
 // each pair takes the next kind in turn, beginning where the seed before this one ends; the second one is of any kind.
--- a/internal/apsoak/tracker.go
+++ b/internal/apsoak/tracker.go
@@ -45,7 +45,7 @@
 	}
 	j := &trackedJob{queue: string(a.Submission.Job.Queue), since: make(map[Feature]time.Time)}
 	for f := range featureCount {
-		if a.Features.Has(f) && f < FeatureQueueMoves {
+		if a.Features.Has(f) && !f.changesQueue() {
 			j.since[f] = time.Now()
 		}
 	}
