Soak: the end of a step leaves faults of other steps in force, and versions are committed in order

With pairs of steps of the same kind the first to end cleared the other's fault, so the table of coverage would have counted more than was played.

--- a/internal/apsoak/apsoak.go
+++ b/internal/apsoak/apsoak.go
@@ -39,7 +39,10 @@
 	// startedAt is the start of the load, createdAt that of the emulator, from which its history counts.
 	startedAt, createdAt time.Time
 
-	mu sync.Mutex
+	faults FaultStack
+	// configMu is held while a configuration is committed, so that versions are committed in their order.
+	configMu sync.Mutex
+	mu       sync.Mutex
 	// reborn holds the machines whose workers may be of another kind than at the start.
 	reborn map[string]bool
 }
@@ -174,6 +177,8 @@
 
 // configure commits the next version of the configuration.
 func (s *Soak) configure(ctx context.Context) error {
+	s.configMu.Lock()
+	defer s.configMu.Unlock()
 	version := s.configs.nextVersion()
 	if s.scenario != nil {
 		return s.commit(ctx, version, s.scenario.queues)
--- a/internal/apsoak/inject.go
+++ b/internal/apsoak/inject.go
@@ -48,9 +48,9 @@
 	case k.between(KindKill, KindReload):
 		return s.signalEntries(ctx, step, random)
 	case k.between(KindLinkDelayed, KindLinkSilenced):
-		s.faultEntries(ctx, step, random, func(p *entryProcess) { p.storeProxy.SetLink(k.linkState()) }, func(p *entryProcess) { p.storeProxy.SetLink(LinkOpen) })
+		s.faultEntries(ctx, step, random, "link ", func(p *entryProcess) { p.storeProxy.SetLink(k.linkState()) }, func(p *entryProcess) { p.storeProxy.SetLink(LinkOpen) })
 	case k.between(KindStoreBusy, KindStoreLate):
-		s.faultEntries(ctx, step, random,
+		s.faultEntries(ctx, step, random, "store ",
 			func(p *entryProcess) { s.emulator.Store.SetFault(p.name, k.storeFault()) },
 			func(p *entryProcess) { s.emulator.Store.SetFault(p.name, apemulator.StoreFaultNone) })
 	case k == KindCompact:
@@ -92,15 +92,16 @@
 	return sampled
 }
 
-// faultEntries applies a fault to a sample of the entries, and reverts it after the step's duration.
-func (s *Soak) faultEntries(ctx context.Context, step Step, random *rand.Rand, apply, revert func(*entryProcess)) {
+// faultEntries applies a fault to a sample of the entries, and reverts it after the step's duration. Faults with another
+// prefix don't hide each other.
+func (s *Soak) faultEntries(ctx context.Context, step Step, random *rand.Rand, prefix string, apply, revert func(*entryProcess)) {
 	targets := sample(s.entries, step.Share, random)
 	for _, p := range targets {
-		apply(p)
+		s.faults.Begin(prefix+p.name, step.Number, func() { apply(p) })
 	}
 	pause(ctx, step.Duration)
 	for _, p := range targets {
-		revert(p)
+		s.faults.End(prefix+p.name, step.Number, func() { revert(p) })
 	}
 }
 
@@ -129,18 +130,18 @@
 		case k == KindWorkerDrain:
 			s.emulator.Fleet.Drain(ctx, name, drainNotice)
 		case k.between(KindWorkerFails, KindWorkerLate):
-			s.emulator.Fleet.SetWorkerFault(name, k.workerFault())
+			s.faults.Begin("worker "+name, step.Number, func() { s.emulator.Fleet.SetWorkerFault(name, k.workerFault()) })
 		default:
-			s.workerProxies.setLink(workers[name], k.linkState())
+			s.faults.Begin("worker link "+workers[name].String(), step.Number, func() { s.workerProxies.setLink(workers[name], k.linkState()) })
 		}
 	}
 	pause(ctx, step.Duration)
 	for _, name := range targets {
 		switch k := step.Kind; {
 		case k.between(KindWorkerFails, KindWorkerLate):
-			s.emulator.Fleet.SetWorkerFault(name, apemulator.WorkerFaultNone)
+			s.faults.End("worker "+name, step.Number, func() { s.emulator.Fleet.SetWorkerFault(name, apemulator.WorkerFaultNone) })
 		case k.between(KindWorkerLinkDelayed, KindWorkerLinkSilenced):
-			s.workerProxies.setLink(workers[name], LinkOpen)
+			s.faults.End("worker link "+workers[name].String(), step.Number, func() { s.workerProxies.setLink(workers[name], LinkOpen) })
 		default:
 		}
 	}
@@ -170,9 +171,13 @@
 	case KindReload:
 		signalAll(targets, syscall.SIGHUP)
 	case KindPause:
-		signalAll(targets, syscall.SIGSTOP)
+		for _, p := range targets {
+			s.faults.Begin("pause "+p.name, step.Number, func() { p.signal(syscall.SIGSTOP) })
+		}
 		pause(ctx, step.Duration)
-		signalAll(targets, syscall.SIGCONT)
+		for _, p := range targets {
+			s.faults.End("pause "+p.name, step.Number, func() { p.signal(syscall.SIGCONT) })
+		}
 	case KindKill:
 		signalAll(targets, syscall.SIGKILL)
 		return restart(ctx, targets)
