--- a/internal/apsoak/apsoak.go
+++ b/internal/apsoak/apsoak.go
@@ -9,6 +9,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"slices"
@@ -38,7 +39,10 @@
 	// startedAt is the start of the load, createdAt that of the emulator, from which its history counts.
 	startedAt, createdAt time.Time
 
-	mu sync.Mutex
+	faults FaultStack
+	// configMu is held while a configuration is committed, so that versions are committed in their order.
+	configMu sync.Mutex
+	mu       sync.Mutex
 	// reborn holds the machines whose workers may be of another kind than at the start.
 	reborn map[string]bool
 }
@@ -132,9 +136,13 @@
 	if err := s.configure(ctx); err != nil {
 		return err
 	}
-	machines, err := s.emulator.ServeMachines()
-	if err != nil {
-		return err
+	var machines netip.AddrPort
+	if s.scenario == nil {
+		// In scenarios the pools keep their machines.
+		var err error
+		if machines, err = s.emulator.ServeMachines(); err != nil {
+			return err
+		}
 	}
 	for i := range s.options.Nodes {
 		p, err := newEntryProcess(s.emulator, i, machines, dir, s.options, group)
@@ -169,6 +177,8 @@
 
 // configure commits the next version of the configuration.
 func (s *Soak) configure(ctx context.Context) error {
+	s.configMu.Lock()
+	defer s.configMu.Unlock()
 	version := s.configs.nextVersion()
 	if s.scenario != nil {
 		return s.commit(ctx, version, s.scenario.queues)
