A record that the store refuses ends its job alone; overdue schedules fit in one record

Callers saw: a schedule of 1,440 times with 125 tasks, whose times had all come, was accepted.

Cause: all occurrences that were due began at once, so that their record outgrew a value of the store. The store refused the batch with BadMessage, which ended the owner; the next one loaded the same job. The bound of 10,000 tasks was that of one occurrence, and the list of done occurrences grew for as long as the schedule did.

Now the bound of 10,000 tasks is that of all occurrences that are open at once; the next ones begin when others are done. A schedule is refused with BadJob if it goes on for over 200 years (its times overflowed a duration and became due at once), or if long-running tasks, which are never done, can't all fit. A batch that is refused is written record by record. If the write without any record is refused too, the owner ends as before. The store in memory refuses values above MaxValueBytes, as its interface says.

--- a/internal/apowner/store.go
+++ b/internal/apowner/store.go
@@ -32,7 +32,11 @@
 		return
 	}
 	batch := o.scheduler.NextBatch()
-	write := o.journalWrite(batch)
+	write, oversized := o.journalWrite(batch)
+	if len(oversized) > 0 {
+		batch = batch.Without(oversized)
+		o.refuse(oversized, now)
+	}
 	write.Removals = append(write.Removals, expiredKeys...)
 	if waitingChanged {
 		o.storedWaiting = waiting
@@ -48,7 +52,7 @@
 	o.calls.Go(func() error {
 		started, sentAt := time.Now(), o.owned.RequestTime()
 		failures := 0
-		err := o.config.Journal.Store(ctx, write, func(err error) {
+		refused, err := o.store(ctx, batch, write, func(err error) {
 			failures++
 			// The next attempt is sent after this.
 			sentAt = o.owned.RequestTime()
@@ -63,7 +67,10 @@
 			o.owned.Extend(sentAt, ownershipTTL)
 		}
 		o.config.ObserveDuration("store_write", time.Since(started))
-		o.post(ctx, func(now time.Time) { o.handleWriteResult(batch, err, now) })
+		o.post(ctx, func(now time.Time) {
+			o.handleWriteResult(batch.Without(refused), err, now)
+			o.refuse(refused, now)
+		})
 		return nil
 	})
 }
@@ -109,16 +116,31 @@
 	}
 }
 
-func (o *Owner) journalWrite(batch apscheduler.Batch) apjournal.Write {
+// journalWrite returns the write of a batch without the records that are larger than a value of the store, and the jobs of
+// these.
+func (o *Owner) journalWrite(batch apscheduler.Batch) (apjournal.Write, map[apjob.ID]bool) {
 	var write apjournal.Write
+	oversized := make(map[apjob.ID]bool)
 	for _, record := range batch.Records {
-		data := apfleet.Encode(record.Progress)
-		write.Puts = append(write.Puts, apstore.Put{Key: apjournal.ProgressKey(o.config.Shard, record.Job), Data: data})
-		if record.Retired {
-			write.Removals = append(write.Removals, apjournal.JobKey(o.config.Shard, record.Job))
-			if record.Progress.State == apjob.Cancelled {
-				write.Removals = append(write.Removals, apjournal.CancelKey(o.config.Shard, record.Job))
-			}
+		alone := o.recordWrite(record)
+		if len(alone.Puts[0].Data) > apstore.MaxValueBytes {
+			oversized[record.Job] = true
+			continue
+		}
+		write.Puts = append(write.Puts, alone.Puts...)
+		write.Removals = append(write.Removals, alone.Removals...)
+	}
+	return write, oversized
+}
+
+// recordWrite returns the write of one record. Its first put is the record.
+func (o *Owner) recordWrite(record apscheduler.Record) apjournal.Write {
+	var write apjournal.Write
+	write.Puts = append(write.Puts, apstore.Put{Key: apjournal.ProgressKey(o.config.Shard, record.Job), Data: apfleet.Encode(record.Progress)})
+	if record.Retired {
+		write.Removals = append(write.Removals, apjournal.JobKey(o.config.Shard, record.Job))
+		if record.Progress.State == apjob.Cancelled {
+			write.Removals = append(write.Removals, apjournal.CancelKey(o.config.Shard, record.Job))
 		}
 	}
 	return write
--- a/pkg/apjob/apjob.go
+++ b/pkg/apjob/apjob.go
@@ -17,8 +17,8 @@
 	MaxSpecBytes = 4000
 	// MaxSteps is the maximum number of steps of a job.
 	MaxSteps = 256
-	// MaxTasks is the maximum number of tasks of one occurrence, so that its progress fits in one value of the
-	// store.
+	// MaxTasks is the maximum number of tasks of all occurrences that have begun and aren't done, so that the progress
+	// fits in one value of the store. An occurrence that is due waits until there is room for it.
 	MaxTasks = 10_000
 	// idDigits is the number of hexadecimal digits of a job ID.
 	idDigits = 16
@@ -159,6 +159,39 @@
 	return nil
 }
 
+// TaskCount returns the number of tasks of one occurrence.
+func (j *Job) TaskCount() int {
+	tasks := 0
+	for n := range j.Steps {
+		tasks += j.Steps[n].Count
+	}
+	return tasks
+}
+
+// CheckAcceptable returns a BadJob error if a job that passes Check could need more than the store or a clock can hold: all
+// times of a schedule must be representable, and the tasks that are never done must fit in one record.
+func (j *Job) CheckAcceptable() error {
+	if j.Repeat == 0 {
+		return nil
+	}
+	if j.First.Year() > maxYear || j.Every > 0 && int64(j.Repeat) > int64(maxScheduleLength/j.Every) {
+		return apcode.Errorf(apcode.BadJob, "the schedule goes on for more than %d years, or begins after the year %d", maxScheduleYears, maxYear)
+	}
+	for n := range j.Steps {
+		if j.Steps[n].LongRunning && j.Repeat > MaxTasks/j.TaskCount() {
+			return apcode.Errorf(apcode.BadJob, "%d times %d tasks with long-running ones are more than %d", j.Repeat, j.TaskCount(), MaxTasks)
+		}
+	}
+	return nil
+}
+
+// Bounds of a schedule.
+const (
+	maxYear           = 9999
+	maxScheduleYears  = 200
+	maxScheduleLength = maxScheduleYears * 365 * 24 * time.Hour
+)
+
 func (s *Step) check(number int) error {
 	switch {
 	case s.Count < 1 || s.Count > MaxTasks:
--- a/pkg/apjob/apjob_test.go
+++ b/pkg/apjob/apjob_test.go
@@ -18,7 +18,7 @@
 func TestProgressRoundTrips(t *testing.T) {
 	progress := apjob.Progress{State: apjob.Running, Occurrences: []apjob.Occurrence{{
 		Number: 1, Steps: [][]apjob.Task{{{Run: 2, Worker: "i-1", Failed: 1, Checkpoint: "c"}, {Done: true, Run: 1}}, {{}}},
-	}}, Finished: []int{0}}
+	}}, Finished: apjob.NumberSet{{First: 0, Last: 0}}}
 	var got apjob.Progress
 	assert.NilError(t, apfleet.Decode(apfleet.Encode(progress), &got))
 	assert.DeepEqual(t, got.Occurrences[0].Steps, progress.Occurrences[0].Steps)
--- a/pkg/apjob/progress.go
+++ b/pkg/apjob/progress.go
@@ -74,8 +74,8 @@
 	State State `cbor:"1,keyasint"`
 	// Occurrences holds the occurrences that have begun and are not done.
 	Occurrences []Occurrence `cbor:"2,keyasint,omitempty"`
-	// Finished lists the numbers of the occurrences that are done.
-	Finished []int `cbor:"3,keyasint,omitempty"`
+	// Finished holds the numbers of the occurrences that are done.
+	Finished NumberSet `cbor:"3,keyasint,omitempty"`
 	// Ended is the Unix time in seconds, on the owner's clock, at which the state became final.
 	Ended int64 `cbor:"4,keyasint,omitempty"`
 }
--- a/pkg/apscheduler/batch.go
+++ b/pkg/apscheduler/batch.go
@@ -109,6 +109,10 @@
 	copied := j.progress
 	copied.Finished = slices.Clone(j.progress.Finished)
 	copied.Occurrences = nil
+	if j.unstorable {
+		copied.Finished = nil
+		return Record{Job: j.def.ID, Progress: copied, Retired: j.assignedTasks == 0, job: j, changes: j.changes}
+	}
 	for _, occurrence := range j.progress.Occurrences {
 		if j.state().Final() && j.assignedTasks == 0 {
 			break
@@ -122,6 +126,37 @@
 	return Record{Job: j.def.ID, Progress: copied, Retired: j.state().Final() && j.assignedTasks == 0, job: j, changes: j.changes}
 }
 
+// Without returns the batch without the records of some jobs and the runs that wait for these.
+func (b Batch) Without(jobs map[apjob.ID]bool) Batch {
+	var rest Batch
+	for _, record := range b.Records {
+		if !jobs[record.Job] {
+			rest.Records = append(rest.Records, record)
+		}
+	}
+	for _, planned := range b.plannedRuns {
+		if !jobs[planned.run.Task.Job] {
+			rest.plannedRuns = append(rest.plannedRuns, planned)
+		}
+	}
+	return rest
+}
+
+// RecordRefused ends a job whose record the store doesn't take, and stops its running tasks. Its next records hold only its
+// state. If one of these is refused too, the job isn't stored any more.
+func (s *Shard) RecordRefused(id apjob.ID, now time.Time) {
+	j := s.jobs[id]
+	if j == nil || j.unstorable {
+		return
+	}
+	j.unstorable = true
+	if j.state().Final() {
+		s.queueRecord(j)
+		return
+	}
+	s.finishJob(j, apjob.Failed, now)
+}
+
 // BatchStored records that a batch is in the store. From then on its run ends are acknowledged to the workers and
 // its planned runs may be started. revision is that of the write. It is a fencing token that is higher than those of earlier
 // orders and lower than those of later owners, whose claims come after it.
--- a/pkg/apscheduler/job.go
+++ b/pkg/apscheduler/job.go
@@ -39,6 +39,8 @@
 	storedChanges uint64
 	// plannedRuns belong to the next record of the job: once it is stored, the runs may be started.
 	plannedRuns []plannedRun
+	// unstorable means that the store has refused the job's record. The job is final, and its records hold only that.
+	unstorable bool
 	// failedOn lists the workers on which a task failed.
 	failedOn map[apjob.TaskID][]apjob.WorkerID
 }
@@ -64,6 +66,12 @@
 	j.nextOccurrence = number + 1
 }
 
+// hasRoomForOccurrence reports whether the job's record has room for one more occurrence.
+func (j *job) hasRoomForOccurrence() bool {
+	open := len(j.progress.Occurrences)
+	return open == 0 || (open+1)*j.def.TaskCount() <= apjob.MaxTasks
+}
+
 // HasJob reports whether the shard knows a job.
 func (s *Shard) HasJob(id apjob.ID) bool { return s.jobs[id] != nil }
 
@@ -131,8 +139,9 @@
 // ApplyReport.
 func (s *Shard) RestoreJob(def *apjob.Job, progress apjob.Progress, age time.Duration, now time.Time) {
 	j := &job{def: def, progress: progress, acceptedAt: now.Add(-age)}
-	for _, number := range progress.Finished {
-		j.nextOccurrence = max(j.nextOccurrence, number+1)
+	j.progress.Finished = progress.Finished.Normalised()
+	for _, finished := range progress.Finished {
+		j.nextOccurrence = max(j.nextOccurrence, finished.Last+1)
 	}
 	for i := range progress.Occurrences {
 		occurrence := &progress.Occurrences[i]
@@ -323,11 +332,11 @@
 		return
 	}
 	if j.occurrence(id.Occurrence).Done() {
-		j.progress.Finished = append(j.progress.Finished, id.Occurrence)
+		j.progress.Finished.Add(apjob.NumberRange{First: id.Occurrence, Last: id.Occurrence})
 		j.progress.Occurrences = slices.DeleteFunc(j.progress.Occurrences, func(o apjob.Occurrence) bool { return o.Number == id.Occurrence })
 		j.recountTasks()
 	}
-	if len(j.progress.Finished) >= max(1, j.def.Repeat) {
+	if j.progress.Finished.Len() >= max(1, j.def.Repeat) {
 		s.logEvent("JobCompleted", apjob.RunKey{Task: apjob.TaskID{Job: j.def.ID}}, "", map[string]any{"AfterMs": now.Sub(j.acceptedAt).Milliseconds(), "SlackMs": j.softDeadline.Sub(now).Milliseconds()})
 		s.finishJob(j, apjob.Completed, now)
 	}
--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -140,7 +140,7 @@
 			}
 			continue
 		}
-		for j.nextOccurrence < j.def.Repeat && !wall.Before(j.def.OccurrenceTime(j.nextOccurrence)) {
+		for j.nextOccurrence < j.def.Repeat && j.hasRoomForOccurrence() && !wall.Before(j.def.OccurrenceTime(j.nextOccurrence)) {
 			j.addOccurrence(j.nextOccurrence)
 			j.recountTasks()
 			s.queueRecord(j)
--- a/pkg/apstore/memory/transactional.go
+++ b/pkg/apstore/memory/transactional.go
@@ -33,6 +33,11 @@
 	if n := len(t.Conditions) + len(t.Puts) + len(t.Removals); n > apstore.MaxTransactionOperations {
 		return apstore.TransactionResult{}, apcode.Errorf(apcode.BadMessage, "%d conditions, puts and removals in a transaction", n)
 	}
+	for _, put := range t.Puts {
+		if len(put.Data) > apstore.MaxValueBytes {
+			return apstore.TransactionResult{}, apcode.Errorf(apcode.BadMessage, "the value of %s has %d bytes", put.Key, len(put.Data))
+		}
+	}
 	var current []apstore.Value
 	conflict := false
 	for _, condition := range t.Conditions {
