apscheduler: the end of a run of an unknown step doesn't end the owner

Cause: learnDuration read the step of any run that was booked. Runs of unknown size, which are those of an unknown step, are now left out.

Failed before: TestReportedRunOfUnknownStepEndsWithoutPanic ("panic: index out of range [99] with length 1 ... learnDuration").

--- a/pkg/apscheduler/learn.go
+++ b/pkg/apscheduler/learn.go
@@ -73,11 +73,11 @@
 	}
 }
 
-// learnDuration updates the estimates with the duration of a successful run. Runs that have a checkpoint or an
-// unknown start time are left out.
+// learnDuration updates the estimates with the duration of a successful run. Runs that have a checkpoint, an
+// unknown start time or an unknown step are left out.
 func (s *Shard) learnDuration(w *worker, id apjob.TaskID, took time.Duration, o *occupant) {
 	j := s.jobs[id.Job]
-	if j == nil || o.startedAt.IsZero() || o.checkpoint != "" {
+	if j == nil || o.startedAt.IsZero() || o.checkpoint != "" || o.sizeUnknown {
 		return
 	}
 	estimate := s.estimate(j.def, &j.def.Steps[id.Step])
--- a/pkg/apscheduler/unlisted_test.go
+++ b/pkg/apscheduler/unlisted_test.go
@@ -113,3 +113,20 @@
 	run.Run++
 	assert.DeepEqual(t, startsAfterPlan(s, now), []apjob.RunKey{run})
 }
+
+func TestReportedRunOfUnknownStepEndsWithoutPanic(t *testing.T) {
+	s := apscheduler.New(1)
+	s.Register(workerInfo("w1", 4000), start)
+	def := job(apjob.Step{Count: 1, Need: apjob.Resources{CPU: 1000}})
+	s.Submit(def, 0, start)
+	ends := uint64(0)
+	for _, task := range []apjob.TaskID{{Job: def.ID, Step: 99}, {Job: def.ID, Index: 99}, {Job: def.ID, Occurrence: 99}} {
+		run := apjob.RunKey{Task: task, Run: 1}
+		s.ApplyReport("w1", apworker.Report{Running: []apworker.RunStatus{{Run: run}}}, start, start)
+		for _, reason := range []apworker.EndReason{apworker.EndDone, apworker.EndFailed} {
+			ends++
+			s.ApplyReport("w1", apworker.Report{Ends: []apworker.RunEnd{{Number: ends, Run: run, Reason: reason}}}, start, start)
+		}
+		s.Plan(start, start)
+	}
+}
