--- a/pkg/apscheduler/learn.go
+++ b/pkg/apscheduler/learn.go
@@ -73,11 +73,11 @@
 	}
 }
 
-// learnDuration updates the estimates with the duration of a successful run. Runs that have a checkpoint or an
-// unknown start time, or whose task is long-running, are left out.
+// learnDuration updates the estimates with the duration of a successful run. Runs that have a checkpoint, an unknown start
+// time or an unknown step, or whose task is long-running, are left out.
 func (s *Shard) learnDuration(w *worker, id apjob.TaskID, took time.Duration, o *occupant) {
 	j := s.jobs[id.Job]
-	if j == nil || o.startedAt.IsZero() || o.checkpoint != "" || j.def.Steps[id.Step].LongRunning {
+	if j == nil || o.startedAt.IsZero() || o.checkpoint != "" || o.sizeUnknown || j.def.Steps[id.Step].LongRunning {
 		return
 	}
 	estimate := s.estimate(j.def, &j.def.Steps[id.Step])
