--- a/internal/apnode/apnode.go
+++ b/internal/apnode/apnode.go
@@ -28,6 +28,7 @@
 	"auburnport/pkg/apqueue"
 	"auburnport/pkg/apscheduler"
 	"auburnport/pkg/apstore"
+	"auburnport/pkg/apworker"
 	"auburnport/platform"
 )
 
@@ -62,18 +63,19 @@
 
 // Node is one entry: a process that serves callers and owns a part of the shards.
 type Node struct {
-	// startSettings is the content of the settings file at the start, which fixes the listen addresses until a
-	// restart. currentSettings is its content when it was last loaded.
+	// startSettings is the content of the settings file at the start. currentSettings is what is in force: it differs only
+	// in what a reload may change. lastSettings is the content when it was last read.
 	startSettings   apadapter.Settings
 	currentSettings atomic.Pointer[apadapter.Settings]
+	lastSettings    atomic.Pointer[apadapter.Settings]
 	*reporter
 	store *apadapter.Store
 	// relay serves callers: it reaches the store through other entries when this one can't.
 	relay    *aprelay.Store
 	workers  *apadapter.Workers
 	machines *apadapter.Machines
-	// advisorClient is kept here so that its connections to the advisor outlive a shard.
-	advisorClient *apadapter.Client
+	// advisor is kept here so that its connections outlive a shard, and a reload reaches the shards that run.
+	advisor       *apadapter.Advisor
 	intake        *apintake.Intake
 	callerHandler *apadapter.CallerHandler
 	member        *apmember.Member
@@ -81,29 +83,6 @@
 	gc            gcTuner
 }
 
-// Reload reads the settings file and applies it if it has changed. It logs changes and errors; if
-// requested is true, it logs every call. Addresses of the platform's services take effect at once, time bounds
-// for shards that are claimed from now on. The entry's name, listen addresses, memory limit, CPU share, MinTTL
-// and Bounds.MaxConfigDelay change only at a restart. A file that can't be read changes nothing.
-func (n *Node) Reload(read func() (apadapter.Settings, error), requested bool) {
-	settings, err := read()
-	current := *n.currentSettings.Load()
-	changed := err == nil && settings != current
-	if !requested && !changed && err == nil {
-		return
-	}
-	fields := map[string]any{"Changed": changed, "Error": err}
-	if changed {
-		n.currentSettings.Store(&settings)
-		n.store.SetAddress(settings.StoreAddress)
-		n.machines.SetAddress(settings.MachinesAddress)
-		fields["Store"], fields["Machines"] = settings.StoreAddress, settings.MachinesAddress
-		fields["RestartNeeded"] = settings.Node != n.startSettings.Node || settings.CallerAddress != n.startSettings.CallerAddress ||
-			settings.ReadinessAddress != n.startSettings.ReadinessAddress || settings.FirstPort != n.startSettings.FirstPort || settings.MemoryMB != n.startSettings.MemoryMB
-	}
-	n.logEvent("Reload", fields)
-}
-
 // Run serves until ctx ends, then shuts down: it gives up the shards first, and stops serving callers last.
 func (n *Node) Run(ctx context.Context) error {
 	n.gc.update(0)
@@ -256,23 +235,27 @@
 	if shard == apjournal.MachineShard {
 		return n.runMachineShard(ctx, journal, permit)
 	}
-	settings := n.currentSettings.Load()
-	bounds := settings.Bounds
+	bounds := n.currentSettings.Load().Bounds
 	config := apowner.Config{
 		Shard: shard, Store: n.store, Workers: n.workers.WithPermit(permit), Registry: workerRegistry{}, Journal: journal,
-		Queues: n.table.Load, Log: n.logEvent, ObserveDuration: n.observeDuration,
+		Advisor: n.currentAdvisor, Queues: n.table.Load, Log: n.logEvent, ObserveDuration: n.observeDuration,
 		SchedulerOptions: []apscheduler.Option{apscheduler.WithOptions(func(o *apscheduler.Options) {
 			o.Lease = min(defaultLease, time.Duration(leaseRatio*float64(bounds.MaxLease)))
 			o.LongestLease = bounds.MaxLease
 			o.StopTime = bounds.StopTime
 		})},
 	}
-	if settings.AdvisorAddress.IsValid() {
-		config.Advisor = apadapter.NewAdvisor(n.advisorClient, settings.AdvisorAddress)
-	}
 	return apowner.New(config).Run(ctx)
 }
 
+// currentAdvisor returns the advisor, or nil while the settings name none.
+func (n *Node) currentAdvisor() apworker.Advisor {
+	if !n.currentSettings.Load().AdvisorAddress.IsValid() {
+		return nil
+	}
+	return n.advisor
+}
+
 // runMachineShard runs the controller of the platform's machines.
 func (n *Node) runMachineShard(ctx context.Context, journal *apjournal.Journal, permit *aplease.Permit) error {
 	bounds := n.currentSettings.Load().Bounds
--- a/internal/apnode/apnode_test.go
+++ b/internal/apnode/apnode_test.go
@@ -35,6 +35,13 @@
 	return l.text.Write(p)
 }
 
+// reset drops the lines so far.
+func (l *logBuffer) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.text.Reset()
+}
+
 // hasLine reports whether one line contains all parts.
 func (l *logBuffer) hasLine(parts ...string) bool {
 	l.mu.Lock()
--- a/internal/apnode/providers.go
+++ b/internal/apnode/providers.go
@@ -69,9 +69,10 @@
 ) *Node {
 	n := &Node{
 		startSettings: settings, reporter: r, store: store, relay: relay, workers: workers, machines: machines,
-		advisorClient: r.newClient(1), intake: intake, callerHandler: callerHandler,
+		advisor: apadapter.NewAdvisor(r.newClient(1), settings.AdvisorAddress), intake: intake, callerHandler: callerHandler,
 	}
 	n.currentSettings.Store(&settings)
+	n.lastSettings.Store(&settings)
 	membership := apmember.DefaultOptions()
 	membership.TTL = max(membership.TTL, settings.MinTTL)
 	membership.Weight = int(settings.CPUShare * weightPerCore)
--- a/internal/apowner/apowner.go
+++ b/internal/apowner/apowner.go
@@ -39,8 +39,8 @@
 	Store    apstore.TransactionalStore
 	Workers  apworker.Client
 	Registry Registry
-	// Advisor may be nil. Steps that need tickets then never start.
-	Advisor          apworker.Advisor
+	// Advisor returns the advisor to ask now. It may be nil or return nil: steps that need tickets then wait.
+	Advisor          func() apworker.Advisor
 	Journal          *apjournal.Journal
 	Queues           func() *apqueue.Table
 	SchedulerOptions []apscheduler.Option
--- a/internal/apowner/workers.go
+++ b/internal/apowner/workers.go
@@ -277,12 +277,16 @@
 	if o.advisorBusy || o.config.Advisor == nil || len(o.questions) == 0 {
 		return
 	}
+	advisor := o.config.Advisor()
+	if advisor == nil {
+		return
+	}
 	o.advisorBusy = true
 	question := o.questions[0]
 	o.questions = o.questions[1:]
 	o.calls.Go(func() error {
 		started := time.Now()
-		answer, err := o.config.Advisor.Advise(ctx, question.Step, question.Workers)
+		answer, err := advisor.Advise(ctx, question.Step, question.Workers)
 		o.config.ObserveDuration("advice", time.Since(started))
 		o.post(ctx, func(now time.Time) {
 			o.advisorBusy = false
--- a/pkg/apcode/apcode.go
+++ b/pkg/apcode/apcode.go
@@ -45,6 +45,7 @@
 	NoSuchNode       Code = 2007
 	SettingsConflict Code = 2008
 	MissingKey       Code = 2010
+	SettingFixed     Code = 2011
 )
 
 // Codes of the platform's store and of leases.
--- a/pkg/apcode/descriptions.go
+++ b/pkg/apcode/descriptions.go
@@ -31,6 +31,7 @@
 		{NoSuchNode, "NoSuchNode", http.StatusNotFound, false, "The settings tree has no such node.", "List the nodes with `auburnport settings tree`."},
 		{SettingsConflict, "SettingsConflict", http.StatusConflict, false, "Another operator changed the settings first.", "Read the other operator's change and apply yours again."},
 		{MissingKey, "MissingKey", http.StatusBadRequest, false, "A key that must be set is missing.", "Set it."},
+		{SettingFixed, "SettingFixed", http.StatusConflict, false, "A setting was changed that is fixed while the process runs.", "Restart the entry, or restore the setting."},
 		{StoreUnavailable, "StoreUnavailable", http.StatusServiceUnavailable, false, "The platform's store does not answer.", "Wait; requests are served without it, but nothing can be changed."},
 		{StoreConflict, "StoreConflict", http.StatusConflict, false, "The value changed since it was read.", "Read it again."},
 		{StoreUnknown, "StoreUnknown", http.StatusServiceUnavailable, false, "The reply to a write was lost; it may have taken effect.", "Read the value back."},
--- a/pkg/apscheduler/unlisted_test.go
+++ b/pkg/apscheduler/unlisted_test.go
@@ -129,4 +129,5 @@
 		}
 		s.Plan(start, start)
 	}
+	assert.Assert(t, s.HasJob(def.ID))
 }
