--- a/pkg/apjournal/apjournal.go
+++ b/pkg/apjournal/apjournal.go
@@ -110,11 +110,16 @@
 func (j *Journal) PreviousProtocol() Protocol { return j.previousProtocol }
 
 // Store writes changes and retries until they are known to be stored. onFailure is called after every failed
-// attempt. Errors: LeaseLost when another owner has taken over, BadMessage, and StoreUnknown when ctx ends.
+// attempt. Errors: LeaseLost when another owner has taken over, those of IsRefused, and StoreUnknown when ctx ends.
 func (j *Journal) Store(ctx context.Context, write Write, onFailure func(error)) error {
 	return j.storeAs(ctx, j.epoch, write, onFailure)
 }
 
+// IsRefused reports whether an error says that the store refuses a write for what it holds, so that it would refuse it again.
+func IsRefused(err error) bool {
+	return apcode.Is(err, apcode.BadMessage) || apcode.Is(err, apcode.ValueTooLarge)
+}
+
 // storeAs writes changes together with the next epoch record.
 func (j *Journal) storeAs(ctx context.Context, next Epoch, write Write, onFailure func(error)) error {
 	next.WriteNumber++
@@ -131,7 +136,7 @@
 			return nil
 		case apcode.StoreConflict:
 			return j.resolveConflict(result.Current[0], next)
-		case apcode.BadMessage:
+		case apcode.BadMessage, apcode.ValueTooLarge:
 			// The same write would be refused again.
 			return err
 		default:
--- a/pkg/apscheduler/apscheduler.go
+++ b/pkg/apscheduler/apscheduler.go
@@ -107,7 +107,8 @@
 	sortedWorkers []*worker
 	// pathBuffer is reused by criticalPath to avoid allocations.
 	pathBuffer []time.Duration
-	// queues holds the settings of the queues in force, formerQueues the last ones of those that were removed.
+	// queues holds the settings of the queues in force, formerQueues the last ones of those that were
+	// removed while a job without terms was in them.
 	queues       map[apjob.Queue]Queue
 	formerQueues map[apjob.Queue]Queue
 	// queuesChanged means that the settings of queues were replaced since the last call of Plan.
@@ -118,6 +119,8 @@
 	lastCordon int
 	// avoided workers will be evacuated soon, so long-running tasks are placed elsewhere if possible.
 	avoided map[apjob.WorkerID]bool
+	// reservedSince is when each step that workers were reserved for in the last Plan got its reservation.
+	reservedSince map[apjob.StepID]time.Time
 	// queuedRecords lists the jobs whose progress is to be stored in the next batches, oldest first.
 	queuedRecords []apjob.ID
 	// deferredRecords lists the jobs whose only unstored changes are run ends that nothing depends on,
--- a/pkg/apscheduler/job.go
+++ b/pkg/apscheduler/job.go
@@ -41,8 +41,12 @@
 	storedChanges uint64
 	// plannedRuns belong to the next record of the job: once it is stored, the runs may be started.
 	plannedRuns []plannedRun
-	// failedOn lists the workers on which a task failed.
-	failedOn map[apjob.TaskID][]apjob.WorkerID
+	// unstorable means that the store has refused the job's record. The job is final, and its records hold only that.
+	unstorable bool
+	// failures tells where tasks have failed.
+	failures map[apjob.TaskID]taskFailures
+	// waits is when each step with waiting tasks was first tried.
+	waits map[apjob.StepID]time.Time
 }
 
 func (j *job) state() apjob.State { return j.progress.State }
@@ -66,6 +70,12 @@
 	j.nextOccurrence = number + 1
 }
 
+// hasRoomForOccurrence reports whether the job's record has room for one more occurrence.
+func (j *job) hasRoomForOccurrence() bool {
+	open := len(j.progress.Occurrences)
+	return open == 0 || (open+1)*j.def.TaskCount() <= apjob.MaxTasks
+}
+
 // HasJob reports whether the shard knows a job.
 func (s *Shard) HasJob(id apjob.ID) bool { return s.jobs[id] != nil }
 
@@ -133,8 +143,9 @@
 // ApplyReport.
 func (s *Shard) RestoreJob(def *apjob.Job, progress apjob.Progress, age time.Duration, now time.Time) {
 	j := &job{def: def, progress: progress, acceptedAt: now.Add(-age)}
-	for _, number := range progress.Finished {
-		j.nextOccurrence = max(j.nextOccurrence, number+1)
+	j.progress.Finished = progress.Finished.Normalised()
+	for _, finished := range progress.Finished {
+		j.nextOccurrence = max(j.nextOccurrence, finished.Last+1)
 	}
 	for i := range progress.Occurrences {
 		occurrence := &progress.Occurrences[i]
@@ -284,7 +295,7 @@
 	if checkpoint != "" {
 		t.Checkpoint = checkpoint
 	}
-	s.countEnd(j, t, run, workerID, reason)
+	s.countEnd(j, t, run, workerID, reason, now)
 	j.recountTasks()
 	s.queueEndRecord(j, run.Task, reason, now)
 	s.finishIfOver(j, run.Task, reason, now)
@@ -293,7 +304,7 @@
 
 // countEnd counts a successful or failed run. The next run of a long-running task has another number, so that one that
 // succeeded is never started again.
-func (s *Shard) countEnd(j *job, t *apjob.Task, run apjob.RunKey, workerID apjob.WorkerID, reason apworker.EndReason) {
+func (s *Shard) countEnd(j *job, t *apjob.Task, run apjob.RunKey, workerID apjob.WorkerID, reason apworker.EndReason, now time.Time) {
 	switch step := &j.def.Steps[run.Task.Step]; reason {
 	case apworker.EndDone:
 		t.Done = !step.LongRunning
@@ -302,10 +313,7 @@
 		}
 	case apworker.EndFailed:
 		t.Failed++
-		if j.failedOn == nil {
-			j.failedOn = make(map[apjob.TaskID][]apjob.WorkerID)
-		}
-		j.failedOn[run.Task] = append(j.failedOn[run.Task], workerID)
+		j.addFailure(run.Task, workerID, now)
 	default:
 		return
 	}
@@ -336,11 +344,11 @@
 		return
 	}
 	if j.occurrence(id.Occurrence).Done() {
-		j.progress.Finished = append(j.progress.Finished, id.Occurrence)
+		j.progress.Finished.Add(apjob.NumberRange{First: id.Occurrence, Last: id.Occurrence})
 		j.progress.Occurrences = slices.DeleteFunc(j.progress.Occurrences, func(o apjob.Occurrence) bool { return o.Number == id.Occurrence })
 		j.recountTasks()
 	}
-	if len(j.progress.Finished) >= max(1, j.def.Repeat) {
+	if j.progress.Finished.Len() >= max(1, j.def.Repeat) {
 		s.logEvent("JobCompleted", apjob.RunKey{Task: apjob.TaskID{Job: j.def.ID}}, "", map[string]any{"AfterMs": now.Sub(j.acceptedAt).Milliseconds(), "SlackMs": j.softDeadline.Sub(now).Milliseconds()})
 		s.finishJob(j, apjob.Completed, now)
 	}
@@ -371,6 +379,9 @@
 	return waiting
 }
 
+// HoldsJobs reports whether the shard has jobs, final or not, that are not removed.
+func (s *Shard) HoldsJobs() bool { return len(s.jobs) > 0 }
+
 // Backlog returns the number of unfinished jobs.
 func (s *Shard) Backlog() int { return len(s.active) }
 
