apmachine, apcontroller: machines move only to pools that the newest settings name

Callers saw machines leave the pools in force for one that the settings no longer name: the report of its last owner stays in the store, and asked for at least three machines, more if it told of queued work. A move that was under way when its target was removed was ordered, too, and machines went on moving to a spare pool that the settings had dropped.

Cause: the planner took the pools that have a report for the pools that exist, and the controller kept the last spare pool it had ever seen.

Change: each step takes the pools in force and the spare pool from the newest settings. Only these get machines, and a move to any other pool is closed instead of ordered. Machines of a removed pool stay where they are.

--- a/internal/apcontroller/apcontroller.go
+++ b/internal/apcontroller/apcontroller.go
@@ -215,13 +215,7 @@
 	if now.Sub(c.startedAt) >= c.inheritedWait() {
 		clear(c.tables.Withheld)
 	}
-	if table := c.config.Queues(); table != nil {
-		for _, s := range table.Services {
-			if s.Spare {
-				c.tables.SparePool = s.Name
-			}
-		}
-	}
+	c.setPoolsInForce()
 	actions := apmachine.Plan(&c.tables)
 	c.logPoolSizes()
 	if err := c.publishAwaiting(ctx, now); err != nil {
@@ -230,6 +224,22 @@
 	return c.execute(ctx, actions, now)
 }
 
+// setPoolsInForce takes from the newest settings which pools may get machines.
+func (c *Controller) setPoolsInForce() {
+	table := c.config.Queues()
+	if table == nil {
+		return
+	}
+	c.tables.SparePool, c.tables.InForce = "", make(map[apfleet.ServiceName]bool, len(table.Services))
+	for _, s := range table.Services {
+		if s.Spare {
+			c.tables.SparePool = s.Name
+			continue
+		}
+		c.tables.InForce[s.Name] = true
+	}
+}
+
 // logPoolSizes logs each pool whose size or target size has changed.
 func (c *Controller) logPoolSizes() {
 	for pool, target := range c.tables.TargetSizes {
--- a/pkg/apmachine/apmachine.go
+++ b/pkg/apmachine/apmachine.go
@@ -145,15 +145,18 @@
 	Machines []Machine
 	// Absences holds the machines of waves and disruptions that Machines omits. SetMachines keeps it.
 	Absences map[Name]Absence
-	// SparePool is the spare pool, which holds the machines that are switched off.
+	// SparePool is the spare pool, which holds the machines that are switched off; empty if the newest settings have none.
 	SparePool apfleet.ServiceName
-	Waves     []Wave
+	// InForce holds the pools that the newest settings name, without spare pools. Only these and SparePool get machines.
+	InForce map[apfleet.ServiceName]bool
+	Waves   []Wave
 	// WaveFirstSeen is when each wave was first seen, by wave number.
 	WaveFirstSeen map[int]time.Time
 	// Progress is the progress of each wave, by wave number.
 	Progress    map[int]WaveProgress
 	Disruptions map[Name]Disruption
-	Pools       map[apfleet.ServiceName]PoolReport
+	// Pools holds the last report of each pool's owner. The report of a pool that the settings no longer name stays.
+	Pools map[apfleet.ServiceName]PoolReport
 	// UpSince is when a machine was first listed as up since it was last down or away.
 	UpSince map[Name]time.Time
 	// Withheld holds the machines that may not be ordered yet, because a previous controller may have ordered them
--- a/pkg/apmachine/apmachine_test.go
+++ b/pkg/apmachine/apmachine_test.go
@@ -20,7 +20,7 @@
 // minute ago, so that it may move machines.
 func newTables(pools map[apfleet.ServiceName]int, spare int) *apmachine.Tables {
 	tables := &apmachine.Tables{
-		Now: start, Started: start.Add(-time.Minute), SparePool: "spare",
+		Now: start, Started: start.Add(-time.Minute), SparePool: "spare", InForce: map[apfleet.ServiceName]bool{},
 		WaveFirstSeen: map[int]time.Time{}, Progress: map[int]apmachine.WaveProgress{},
 		Disruptions: map[apmachine.Name]apmachine.Disruption{}, Pools: map[apfleet.ServiceName]apmachine.PoolReport{},
 		UpSince: map[apmachine.Name]time.Time{},
@@ -40,6 +40,7 @@
 	}
 	for _, name := range []apfleet.ServiceName{"a", "b", "c"} {
 		if n, ok := pools[name]; ok {
+			tables.InForce[name] = true
 			tables.Pools[name] = apmachine.PoolReport{ReservedCPU: map[apjob.WorkerID]int64{}, LongRunning: map[apjob.WorkerID]int{}, Empty: map[apjob.WorkerID]apstore.Revision{}}
 			add(name, n)
 		}
--- a/pkg/apmachine/balance.go
+++ b/pkg/apmachine/balance.go
@@ -244,11 +244,11 @@
 	return spare
 }
 
-// poolNames returns the names of all pools but the spare pool, sorted.
+// poolNames returns the names of the pools in force that have a report, sorted.
 func (t *Tables) poolNames() []apfleet.ServiceName {
 	pools := make([]apfleet.ServiceName, 0, len(t.Pools))
 	for pool := range t.Pools {
-		if pool != t.SparePool {
+		if t.InForce[pool] {
 			pools = append(pools, pool)
 		}
 	}
@@ -256,6 +256,11 @@
 	return pools
 }
 
+// mayGetMachines reports whether machines may be moved to a pool: only to those that the newest settings name.
+func (t *Tables) mayGetMachines(pool apfleet.ServiceName) bool {
+	return t.InForce[pool] || pool == t.SparePool && pool != ""
+}
+
 // shrinkPool opens moves of a pool's least used machines: first to the pools in lacking, which it shortens
 // accordingly, then to the spare pool. Machines with long-running tasks stay, and busy machines move only while
 // machines are scarce.
--- /dev/null
+++ b/pkg/apmachine/former_test.go
@@ -0,0 +1,41 @@
+package apmachine_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"auburnport/pkg/apfleet"
+	"auburnport/pkg/apmachine"
+	"auburnport/pkg/apstore"
+)
+
+// The settings no longer name the pool, whose last report stays in the store and asks for machines.
+func TestNoMachineMovesToARemovedPool(t *testing.T) {
+	tables := newTables(map[apfleet.ServiceName]int{"a": 1, "b": 3}, 10)
+	delete(tables.InForce, "a")
+	pool := tables.Pools["a"]
+	pool.QueuedWork, pool.Unplaced = 128_000, 3
+	tables.Pools["a"] = pool
+	for range 20 {
+		executed, opened := movesByTarget(apmachine.Plan(tables))
+		assert.Equal(t, executed["a"]+opened["a"], 0)
+		tables.Now = tables.Now.Add(time.Second)
+	}
+}
+
+// A machine was being emptied for a pool when the settings removed that pool.
+func TestMoveUnderWayEndsWhenItsTargetIsRemoved(t *testing.T) {
+	tables := newTables(map[apfleet.ServiceName]int{"a": 9, "b": 3}, 0)
+	d := apmachine.Disruption{Machine: "m-a-00", Worker: "i-m-a-00", Pool: "a", Kind: apmachine.KindMove, Target: "b", Revision: 7}
+	tables.Disruptions[d.Machine] = d
+	tables.Pools["a"].Empty[d.Worker] = apstore.Revision(7)
+	executed, _ := movesByTarget(apmachine.Plan(tables))
+	assert.Equal(t, executed["b"], 1, "the target is in force")
+	delete(tables.InForce, "b")
+	actions := apmachine.Plan(tables)
+	executed, _ = movesByTarget(actions)
+	assert.Equal(t, executed["b"], 0)
+	assert.Equal(t, actions[0], apmachine.Action(apmachine.CloseDisruption{Machine: d.Machine, Reason: "TargetNotInForce"}))
+}
--- a/pkg/apmachine/wave.go
+++ b/pkg/apmachine/wave.go
@@ -50,7 +50,7 @@
 }
 
 // completeDisruptions orders the upkeep or move of machines that have been emptied, and closes disruptions whose
-// machine has been removed or whose worker has been replaced.
+// machine has been removed, whose worker has been replaced, or whose target may no longer get machines.
 func completeDisruptions(t *Tables) []Action {
 	var actions []Action
 	for _, name := range sortedNames(t.Disruptions) {
@@ -63,6 +63,8 @@
 			// The next listings show whether the machine stays.
 		case d.Worker != "" && m.Worker != "" && m.Worker != d.Worker:
 			actions = append(actions, CloseDisruption{Machine: name, Reason: "NewLife"})
+		case d.Kind == KindMove && !t.mayGetMachines(d.Target):
+			actions = append(actions, CloseDisruption{Machine: name, Reason: "TargetNotInForce"})
 		case m.Pool == t.SparePool || d.Worker == "" || isEmptied(t, d):
 			actions = append(actions, ExecuteDisruption{Disruption: d})
 		}
