apowner: the first report of an owner replaces that of an earlier one

Callers saw machines ordered into a pool that needs none: the report of the pool's last owner stayed in the store, with its queued work and its tasks without a place, while the present owner had nothing to report.

Cause: an owner compared its first report with an empty one instead of with what is stored, so an empty report, as of a pool whose work and workers are gone, was never written.

Evidence, with the new condition taken out: TestReportOfAnEarlierOwnerDoesNotStay: expression is false: storedReport(t, store).Equal(apmachine.PoolReport{})

Change: an empty first report is written 3 s after the takeover; before that, workers may not have reported yet, and an empty report would bring machines, too. Other first reports are written at once, as before. A pool in force without machines is reported by this as well, and so gets the least number that each pool has.

--- a/internal/apowner/apowner.go
+++ b/internal/apowner/apowner.go
@@ -83,6 +83,9 @@
 	waitingCountsInterval = time.Second
 	// poolReportInterval is how often the pool's report is refreshed in the store.
 	poolReportInterval = 150 * time.Millisecond
+	// emptyReportDelay is how long a new owner keeps a report without workers and work from replacing that of an earlier
+	// owner: its workers may not have reported yet.
+	emptyReportDelay = 3 * time.Second
 	// eventQueueSize bounds the events queued for the loop.
 	eventQueueSize = 1024
 	// stepDelayFactor times the duration of a step is the minimum delay before the next one. Events that
@@ -141,9 +144,10 @@
 	disruptions map[apfleet.Key]disruption
 	// disruptionEndedAt holds when the disruption of a worker ended.
 	disruptionEndedAt map[apjob.WorkerID]time.Time
-	// storedReport is the pool's report as last written to the store.
-	storedReport   apmachine.PoolReport
-	poolReportedAt time.Time
+	// storedReport is the pool's report as last written to the store by this owner; nil before that.
+	storedReport *apmachine.PoolReport
+	// poolReportedAt is when the load was last refreshed, reportingSince when it first was.
+	poolReportedAt, reportingSince time.Time
 }
 
 // New returns an owner of a shard that config.Journal has claimed.
--- a/internal/apowner/pool.go
+++ b/internal/apowner/pool.go
@@ -123,7 +123,8 @@
 }
 
 // poolReport returns the report on the pool's load and emptied workers, and whether it must be stored. The load is
-// refreshed at most every poolReportInterval unless the set of emptied workers changes.
+// refreshed at most every poolReportInterval unless the set of emptied workers changes. The first report replaces that of
+// an earlier owner, an empty one after emptyReportDelay.
 func (o *Owner) poolReport(now time.Time) (apmachine.PoolReport, bool) {
 	empty := make(map[apjob.WorkerID]apstore.Revision)
 	for _, d := range o.disruptions {
@@ -131,14 +132,22 @@
 			empty[d.worker] = d.revision
 		}
 	}
+	var stored apmachine.PoolReport
+	if o.storedReport != nil {
+		stored = *o.storedReport
+	}
 	due := now.Sub(o.poolReportedAt) >= poolReportInterval
-	if !due && maps.Equal(empty, o.storedReport.Empty) {
+	if !due && maps.Equal(empty, stored.Empty) {
 		return apmachine.PoolReport{}, false
 	}
+	if o.reportingSince.IsZero() {
+		o.reportingSince = now
+	}
 	o.poolReportedAt = now
 	load := o.scheduler.PoolLoad(now)
-	report := apmachine.PoolReport{Empty: empty, LongRunning: load.LongRunning, ReservedCPU: load.ReservedCPU, QueuedWork: load.QueuedWork, WidestStep: load.WidestStep, Unplaced: load.Unplaced}
-	unchanged := maps.Equal(empty, o.storedReport.Empty) && maps.Equal(report.LongRunning, o.storedReport.LongRunning) &&
-		maps.Equal(report.ReservedCPU, o.storedReport.ReservedCPU) && report.QueuedWork == o.storedReport.QueuedWork && report.WidestStep == o.storedReport.WidestStep && report.Unplaced == o.storedReport.Unplaced
-	return report, !unchanged
+	report := apmachine.PoolReport{
+		Empty: empty, LongRunning: load.LongRunning, ReservedCPU: load.ReservedCPU, QueuedWork: load.QueuedWork, WidestStep: load.WidestStep, Unplaced: load.Unplaced,
+	}
+	replaces := o.storedReport == nil && now.Sub(o.reportingSince) >= emptyReportDelay
+	return report, replaces || !report.Equal(stored)
 }
--- a/internal/apowner/store.go
+++ b/internal/apowner/store.go
@@ -33,7 +33,7 @@
 		write.Puts = append(write.Puts, apstore.Put{Key: apjournal.WaitingKey(o.config.Shard), Data: apfleet.Encode(counts)})
 	}
 	if poolChanged {
-		o.storedReport = pool
+		o.storedReport = &pool
 		key := apjournal.PrefixPools + apfleet.Key(o.config.Shard)
 		write.Puts = append(write.Puts, apstore.Put{Key: key, Data: apfleet.Encode(pool)})
 	}
--- a/pkg/apmachine/apmachine.go
+++ b/pkg/apmachine/apmachine.go
@@ -3,6 +3,7 @@
 package apmachine
 
 import (
+	"maps"
 	"time"
 
 	"auburnport/pkg/apcode"
@@ -105,6 +106,12 @@
 // Check implements apfleet.Checker. Every report is valid.
 func (p PoolReport) Check() error { return nil }
 
+// Equal reports whether two reports say the same, whenever they were received.
+func (p PoolReport) Equal(q PoolReport) bool {
+	return maps.Equal(p.Empty, q.Empty) && maps.Equal(p.LongRunning, q.LongRunning) && maps.Equal(p.ReservedCPU, q.ReservedCPU) &&
+		p.QueuedWork == q.QueuedWork && p.WidestStep == q.WidestStep && p.Unplaced == q.Unplaced
+}
+
 // AwaitingUpkeep lists the workers of a pool whose machines will be emptied for the upkeep of a wave.
 type AwaitingUpkeep struct {
 	Workers []apjob.WorkerID `cbor:"Workers"`
