apmachine: a pool of a removed service keeps its machines while its shard has jobs

Callers saw jobs that were accepted before their service was removed lose their workers: the planner moved away all machines beyond what runs at the moment, and since no machine goes to such a pool, a later step that needs more of them, or a gang, could never start. A move that was under way went on, too. With moves only to pools in force, the opposite showed: machines of a removed service without jobs stayed for good.

Cause: the report tells what runs and waits now, not whether jobs remain, and pools were planned without regard to the settings.

Change: the report says whether the shard has unfinished jobs. A pool that isn't in force keeps all its machines while it has some and for 30 s after, because entries with older settings still accept jobs for it; a move out of it that is under way is closed. Then its machines go to pools that lack some, or to the spare pool, emptied by its owner as usual. Such moves don't count against those that other pools may open, since they may wait for an owner. An owner older than the field reports no jobs.

--- a/internal/apowner/report_test.go
+++ b/internal/apowner/report_test.go
@@ -49,3 +49,25 @@
 		assert.NilError(t, group.Wait())
 	})
 }
+
+// Whoever moves machines must know that tasks are still to come although none runs or waits.
+func TestReportTellsOfUnfinishedJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.TransactionalStore{Store: memory.New()}
+		pool := newFakePool(t, 1, 2)
+		pool.register(t, store)
+		group := &errgroup.Group{}
+		ctx, cancel := context.WithCancel(t.Context())
+		group.Go(func() error { return runOwner(ctx, t, store, pool, "owner") })
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, !storedReport(t, store).HasJobs)
+		id := submit(t, store, 1)
+		time.Sleep(500 * time.Millisecond)
+		assert.Assert(t, storedReport(t, store).HasJobs)
+		waitUntilDone(t, store, id)
+		time.Sleep(time.Second)
+		assert.Assert(t, !storedReport(t, store).HasJobs)
+		cancel()
+		assert.NilError(t, group.Wait())
+	})
+}
--- a/pkg/apmachine/apmachine.go
+++ b/pkg/apmachine/apmachine.go
@@ -99,6 +99,8 @@
 	// Unplaced counts the long-running tasks that wait for a worker, including those that have to leave their
 	// present one.
 	Unplaced int `cbor:"Homeless"`
+	// HasJobs means that the shard has unfinished jobs. Owners older than the field leave it out.
+	HasJobs bool `cbor:"HasJobs,omitempty"`
 	// ReceivedAt is when the controller received this report; zero if unknown.
 	ReceivedAt time.Time `cbor:"-"`
 }
@@ -109,7 +111,7 @@
 // Equal reports whether two reports say the same, whenever they were received.
 func (p PoolReport) Equal(q PoolReport) bool {
 	return maps.Equal(p.Empty, q.Empty) && maps.Equal(p.LongRunning, q.LongRunning) && maps.Equal(p.ReservedCPU, q.ReservedCPU) &&
-		p.QueuedWork == q.QueuedWork && p.WidestStep == q.WidestStep && p.Unplaced == q.Unplaced
+		p.QueuedWork == q.QueuedWork && p.WidestStep == q.WidestStep && p.Unplaced == q.Unplaced && p.HasJobs == q.HasJobs
 }
 
 // AwaitingUpkeep lists the workers of a pool whose machines will be emptied for the upkeep of a wave.
@@ -173,6 +175,8 @@
 	Awaiting map[Name]bool
 	// TargetSizes is the number of machines that each pool should have. Plan keeps it between calls.
 	TargetSizes map[apfleet.ServiceName]TargetSize
+	// LastNeeded is when a pool was last in force, or last had jobs. Plan keeps it between calls.
+	LastNeeded map[apfleet.ServiceName]time.Time
 	// Trends is the growth of each pool's queue. Plan keeps it between calls.
 	Trends map[apfleet.ServiceName]Trend
 	// Sizes is the number of machines that each pool has or will have soon. Plan sets it.
--- a/pkg/apmachine/balance.go
+++ b/pkg/apmachine/balance.go
@@ -86,11 +86,23 @@
 	}
 	for _, pool := range pools {
 		if surplus := size[pool] - t.TargetSizes[pool].Machines; surplus > 0 {
-			moves := t.shrinkPool(pool, min(surplus, len(t.Machines)/maxEmptyingDivisor-len(t.Disruptions)), scarce, &lacking)
+			moves := t.shrinkPool(pool, min(surplus, t.maxMoves()), scarce, &lacking)
 			actions = append(actions, moves...)
 		}
 	}
-	return actions
+	return append(actions, t.releaseMachines(scarce, lacking)...)
+}
+
+// maxMoves returns how many moves one plan may open for one pool. Moves from pools that are no longer in force don't count:
+// they take no capacity from any pool, and last for as long as there is no owner to empty the machines.
+func (t *Tables) maxMoves() int {
+	n := len(t.Machines) / maxEmptyingDivisor
+	for _, d := range t.Disruptions {
+		if d.Kind == KindUpkeep || t.mayGetMachines(d.Pool) {
+			n--
+		}
+	}
+	return n
 }
 
 // updateTargetSizes sets the number of machines that each pool should have, and reports whether machines are scarce,
@@ -101,6 +113,9 @@
 	}
 	needs := make(map[apfleet.ServiceName]poolNeed, len(pools))
 	needed, minimum, total := 0, 0, size[t.SparePool]
+	for _, pool := range t.releasablePools() {
+		total += size[pool]
+	}
 	for _, pool := range pools {
 		n := t.needOf(pool)
 		needs[pool] = n
--- a/pkg/apmachine/former_test.go
+++ b/pkg/apmachine/former_test.go
@@ -39,3 +39,31 @@
 	assert.Equal(t, executed["b"], 0)
 	assert.Equal(t, actions[0], apmachine.Action(apmachine.CloseDisruption{Machine: d.Machine, Reason: "TargetNotInForce"}))
 }
+
+// The pool can't get machines back, and its jobs may have steps to come that need more of them than those that run.
+func TestRemovedPoolKeepsItsMachinesWhileItHasJobs(t *testing.T) {
+	tables := newTables(map[apfleet.ServiceName]int{"a": 9, "b": 3}, 3)
+	delete(tables.InForce, "a")
+	d := apmachine.Disruption{Machine: "m-a-00", Worker: "i-m-a-00", Pool: "a", Kind: apmachine.KindMove, Target: "b"}
+	tables.Disruptions[d.Machine] = d
+	former, busy := tables.Pools["a"], tables.Pools["b"]
+	former.HasJobs, busy.QueuedWork = true, 900_000
+	tables.Pools["a"], tables.Pools["b"] = former, busy
+	actions := apmachine.Plan(tables)
+	assert.Equal(t, actions[0], apmachine.Action(apmachine.CloseDisruption{Machine: d.Machine, Reason: "PoolNotInForce"}))
+	delete(tables.Disruptions, d.Machine)
+	for range 40 {
+		tables.Now = tables.Now.Add(time.Second)
+		_, opened := movesByTarget(apmachine.Plan(tables))
+		assert.Equal(t, len(opened), 0)
+	}
+
+	former.HasJobs = false
+	tables.Pools["a"] = former
+	tables.Now = tables.Now.Add(29 * time.Second)
+	_, opened := movesByTarget(apmachine.Plan(tables))
+	assert.Equal(t, len(opened), 0, "entries with older settings still accept jobs")
+	tables.Now = tables.Now.Add(time.Second)
+	_, opened = movesByTarget(apmachine.Plan(tables))
+	assert.Equal(t, opened["b"], 5, "at most a third of all machines move at once")
+}
--- a/pkg/apmachine/wave.go
+++ b/pkg/apmachine/wave.go
@@ -25,6 +25,7 @@
 func Plan(t *Tables) []Action {
 	t.Awaiting = awaitingUpkeep(t)
 	t.updateTrends()
+	t.updateLastNeeded()
 	actions := completeDisruptions(t)
 	// What the plan opens counts as open for the rest of the plan, and is left to the caller to store.
 	stored := t.Disruptions
@@ -50,7 +51,7 @@
 }
 
 // completeDisruptions orders the upkeep or move of machines that have been emptied, and closes disruptions whose
-// machine has been removed, whose worker has been replaced, or whose target may no longer get machines.
+// machine has been removed, whose worker has been replaced, or whose move the newest settings no longer allow.
 func completeDisruptions(t *Tables) []Action {
 	var actions []Action
 	for _, name := range sortedNames(t.Disruptions) {
@@ -65,6 +66,8 @@
 			actions = append(actions, CloseDisruption{Machine: name, Reason: "NewLife"})
 		case d.Kind == KindMove && !t.mayGetMachines(d.Target):
 			actions = append(actions, CloseDisruption{Machine: name, Reason: "TargetNotInForce"})
+		case d.Kind == KindMove && t.keepsMachines(d.Pool):
+			actions = append(actions, CloseDisruption{Machine: name, Reason: "PoolNotInForce"})
 		case m.Pool == t.SparePool || d.Worker == "" || isEmptied(t, d):
 			actions = append(actions, ExecuteDisruption{Disruption: d})
 		}
