apmachine: machines of a new spare pool are emptied while its shard has jobs

Callers saw running tasks killed when their service became the spare pool: its machines were ordered to other pools, and to their upkeep, at once, for machines of the spare pool count as switched off.

Cause: the planner told spare machines by the pool's name alone.

Evidence, with the condition taken out: TestMachinesOfANewSparePoolAreEmptiedWhileItHasJobs: m-a-00 is ordered although its worker may run tasks

Change: a machine of the spare pool with a worker is spare only if the pool's report tells of no unfinished jobs. Until then it stays, and for its upkeep it is emptied by the shard's owner, within the limit of a pool that runs tasks.

--- a/pkg/apmachine/balance.go
+++ b/pkg/apmachine/balance.go
@@ -224,7 +224,7 @@
 		switch {
 		case disrupted && d.Kind == KindMove:
 			size[d.Target]++
-		case disrupted, m.Pool == t.SparePool && m.State != StateDown, t.countsForPool(m):
+		case disrupted, t.isSpare(m) && m.State != StateDown, t.countsForPool(m):
 			size[m.Pool]++
 		}
 	}
@@ -246,12 +246,12 @@
 	}
 }
 
-// spareMachines returns the machines of the spare pool that can be given to any pool. Machines that await upkeep
+// spareMachines returns the spare machines that can be given to any pool. Machines that await upkeep
 // come last, because their upkeep costs nothing while they are spare.
 func (t *Tables) spareMachines() []Machine {
 	var spare []Machine
 	for _, m := range t.Machines {
-		if _, disrupted := t.Disruptions[m.Name]; m.Pool == t.SparePool && m.State == StateUp && !disrupted && !t.Withheld[m.Name] {
+		if _, disrupted := t.Disruptions[m.Name]; t.isSpare(m) && m.State == StateUp && !disrupted && !t.Withheld[m.Name] {
 			spare = append(spare, m)
 		}
 	}
--- a/pkg/apmachine/former.go
+++ b/pkg/apmachine/former.go
@@ -38,6 +38,12 @@
 	return !t.mayGetMachines(pool) && t.Now.Sub(t.LastNeeded[pool]) < formerKeepTime
 }
 
+// isSpare reports whether a machine belongs to the spare pool and runs nothing, so that it needs no emptying. A service that
+// has become the spare pool may still have jobs, and its workers run them.
+func (t *Tables) isSpare(m Machine) bool {
+	return m.Pool == t.SparePool && (m.Worker == "" || !t.Pools[m.Pool].HasJobs)
+}
+
 // updateLastNeeded notes the pools that are in force or have jobs. A pool without a note counts as needed until now.
 func (t *Tables) updateLastNeeded() {
 	if t.LastNeeded == nil {
--- a/pkg/apmachine/former_test.go
+++ b/pkg/apmachine/former_test.go
@@ -67,3 +67,40 @@
 	_, opened = movesByTarget(apmachine.Plan(tables))
 	assert.Equal(t, opened["b"], 5, "at most a third of all machines move at once")
 }
+
+// The jobs were accepted before the service became the spare pool, and run on its workers.
+func TestMachinesOfANewSparePoolAreEmptiedWhileItHasJobs(t *testing.T) {
+	tables := newTables(map[apfleet.ServiceName]int{"a": 9, "b": 3}, 0)
+	delete(tables.InForce, "a")
+	tables.SparePool = "a"
+	former, busy := tables.Pools["a"], tables.Pools["b"]
+	former.HasJobs, busy.QueuedWork = true, 900_000
+	former.ReservedCPU["i-m-a-03"] = 4000
+	tables.Pools["a"], tables.Pools["b"] = former, busy
+	tables.Waves = []apmachine.Wave{{Number: 1, MaxCount: 9, Duration: time.Second, Machines: []apmachine.Name{"m-a-02", "m-a-03", "m-a-04"}}}
+	tables.WaveFirstSeen[1] = start.Add(-time.Minute)
+	var upkeep []apmachine.Disruption
+	for _, action := range apmachine.Plan(tables) {
+		switch action := action.(type) {
+		case apmachine.ExecuteDisruption:
+			t.Fatalf("%s is ordered although its worker may run tasks", action.Disruption.Machine)
+		case apmachine.OpenDisruption:
+			upkeep = append(upkeep, action.Disruption)
+		}
+	}
+	assert.Equal(t, len(upkeep), 2, "a quarter of a pool that runs tasks is emptied at once")
+	for i, d := range upkeep {
+		d.Revision = apstore.Revision(i + 1)
+		tables.Disruptions[d.Machine] = d
+	}
+	tables.Pools["a"].Empty[upkeep[0].Worker] = 1
+	actions := apmachine.Plan(tables)
+	assert.Equal(t, actions[0], apmachine.Action(apmachine.ExecuteDisruption{Disruption: tables.Disruptions[upkeep[0].Machine]}))
+	executed, _ := movesByTarget(actions)
+	assert.Equal(t, executed["b"], 0)
+
+	former.HasJobs = false
+	tables.Pools["a"] = former
+	executed, _ = movesByTarget(apmachine.Plan(tables))
+	assert.Equal(t, executed["b"], 6, "all machines but the three of the wave are spare now")
+}
--- a/pkg/apmachine/wave.go
+++ b/pkg/apmachine/wave.go
@@ -68,7 +68,7 @@
 			actions = append(actions, CloseDisruption{Machine: name, Reason: "TargetNotInForce"})
 		case d.Kind == KindMove && t.keepsMachines(d.Pool):
 			actions = append(actions, CloseDisruption{Machine: name, Reason: "PoolNotInForce"})
-		case m.Pool == t.SparePool || d.Worker == "" || isEmptied(t, d):
+		case t.isSpare(m) || d.Worker == "" || isEmptied(t, d):
 			actions = append(actions, ExecuteDisruption{Disruption: d})
 		}
 	}
@@ -102,14 +102,14 @@
 }
 
 // AwaitingWorkers returns, for each pool, the sorted ids of the workers whose machines will be emptied for a wave.
-// Machines of the spare pool are left out.
+// Spare machines are left out.
 func (t *Tables) AwaitingWorkers() map[apfleet.ServiceName][]apjob.WorkerID {
 	workers := make(map[apfleet.ServiceName][]apjob.WorkerID, len(t.Pools))
 	for pool := range t.Pools {
 		workers[pool] = nil
 	}
 	for _, m := range t.Machines {
-		if m.Pool != t.SparePool && m.State == StateUp && t.Awaiting[m.Name] {
+		if !t.isSpare(m) && m.State == StateUp && t.Awaiting[m.Name] {
 			workers[m.Pool] = append(workers[m.Pool], m.Worker)
 		}
 	}
@@ -164,7 +164,7 @@
 		if down >= limit {
 			break
 		}
-		if m.Pool != t.SparePool && t.disruptedCount(m.Pool)+opening[m.Pool] >= t.maxDisrupted(m.Pool) {
+		if !t.isSpare(m) && t.disruptedCount(m.Pool)+opening[m.Pool] >= t.maxDisrupted(m.Pool) {
 			continue
 		}
 		down++
@@ -190,7 +190,7 @@
 // upkeepCost returns the sort key for the machines of a wave: spare machines come first, then those with the fewest
 // long-running tasks and the lowest CPU use.
 func (t *Tables) upkeepCost(m Machine) float64 {
-	if m.Pool == t.SparePool {
+	if t.isSpare(m) {
 		return -1
 	}
 	pool := t.Pools[m.Pool]
