--- a/pkg/apmachine/apmachine.go
+++ b/pkg/apmachine/apmachine.go
@@ -3,6 +3,7 @@
 package apmachine
 
 import (
+	"maps"
 	"time"
 
 	"auburnport/pkg/apcode"
@@ -98,6 +99,8 @@
 	// Unplaced counts the long-running tasks that wait for a worker, including those that have to leave their
 	// present one.
 	Unplaced int `cbor:"Homeless"`
+	// HasJobs means that the shard has unfinished jobs. Owners older than the field leave it out.
+	HasJobs bool `cbor:"HasJobs,omitempty"`
 	// ReceivedAt is when the controller received this report; zero if unknown.
 	ReceivedAt time.Time `cbor:"-"`
 }
@@ -105,6 +108,12 @@
 // Check implements apfleet.Checker. Every report is valid.
 func (p PoolReport) Check() error { return nil }
 
+// Equal reports whether two reports say the same, whenever they were received.
+func (p PoolReport) Equal(q PoolReport) bool {
+	return maps.Equal(p.Empty, q.Empty) && maps.Equal(p.LongRunning, q.LongRunning) && maps.Equal(p.ReservedCPU, q.ReservedCPU) &&
+		p.QueuedWork == q.QueuedWork && p.WidestStep == q.WidestStep && p.Unplaced == q.Unplaced && p.HasJobs == q.HasJobs
+}
+
 // AwaitingUpkeep lists the workers of a pool whose machines will be emptied for the upkeep of a wave.
 type AwaitingUpkeep struct {
 	Workers []apjob.WorkerID `cbor:"Workers"`
@@ -145,15 +154,18 @@
 	Machines []Machine
 	// Absences holds the machines of waves and disruptions that Machines omits. SetMachines keeps it.
 	Absences map[Name]Absence
-	// SparePool is the spare pool, which holds the machines that are switched off.
+	// SparePool is the spare pool, which holds the machines that are switched off; empty if the newest settings have none.
 	SparePool apfleet.ServiceName
-	Waves     []Wave
+	// InForce holds the pools that the newest settings name, without spare pools. Only these and SparePool get machines.
+	InForce map[apfleet.ServiceName]bool
+	Waves   []Wave
 	// WaveFirstSeen is when each wave was first seen, by wave number.
 	WaveFirstSeen map[int]time.Time
 	// Progress is the progress of each wave, by wave number.
 	Progress    map[int]WaveProgress
 	Disruptions map[Name]Disruption
-	Pools       map[apfleet.ServiceName]PoolReport
+	// Pools holds the last report of each pool's owner. The report of a pool that the settings no longer name stays.
+	Pools map[apfleet.ServiceName]PoolReport
 	// UpSince is when a machine was first listed as up since it was last down or away.
 	UpSince map[Name]time.Time
 	// Withheld holds the machines that may not be ordered yet, because a previous controller may have ordered them
@@ -163,6 +175,8 @@
 	Awaiting map[Name]bool
 	// TargetSizes is the number of machines that each pool should have. Plan keeps it between calls.
 	TargetSizes map[apfleet.ServiceName]TargetSize
+	// LastNeeded is when a pool was last in force, or last had jobs. Plan keeps it between calls.
+	LastNeeded map[apfleet.ServiceName]time.Time
 	// Trends is the growth of each pool's queue. Plan keeps it between calls.
 	Trends map[apfleet.ServiceName]Trend
 	// Sizes is the number of machines that each pool has or will have soon. Plan sets it.
--- a/pkg/apmachine/balance.go
+++ b/pkg/apmachine/balance.go
@@ -86,11 +86,23 @@
 	}
 	for _, pool := range pools {
 		if surplus := size[pool] - t.TargetSizes[pool].Machines; surplus > 0 {
-			moves := t.shrinkPool(pool, min(surplus, len(t.Machines)/maxEmptyingDivisor-len(t.Disruptions)), scarce, &lacking)
+			moves := t.shrinkPool(pool, min(surplus, t.maxMoves()), scarce, &lacking)
 			actions = append(actions, moves...)
 		}
 	}
-	return actions
+	return append(actions, t.releaseMachines(scarce, lacking)...)
+}
+
+// maxMoves returns how many moves one plan may open for one pool. Moves from pools that are no longer in force don't count:
+// they take no capacity from any pool, and last for as long as there is no owner to empty the machines.
+func (t *Tables) maxMoves() int {
+	n := len(t.Machines) / maxEmptyingDivisor
+	for _, d := range t.Disruptions {
+		if d.Kind == KindUpkeep || t.mayGetMachines(d.Pool) {
+			n--
+		}
+	}
+	return n
 }
 
 // updateTargetSizes sets the number of machines that each pool should have, and reports whether machines are scarce,
@@ -101,6 +113,9 @@
 	}
 	needs := make(map[apfleet.ServiceName]poolNeed, len(pools))
 	needed, minimum, total := 0, 0, size[t.SparePool]
+	for _, pool := range t.releasablePools() {
+		total += size[pool]
+	}
 	for _, pool := range pools {
 		n := t.needOf(pool)
 		needs[pool] = n
@@ -209,7 +224,7 @@
 		switch {
 		case disrupted && d.Kind == KindMove:
 			size[d.Target]++
-		case disrupted, m.Pool == t.SparePool && m.State != StateDown, t.countsForPool(m):
+		case disrupted, t.isSpare(m) && m.State != StateDown, t.countsForPool(m):
 			size[m.Pool]++
 		}
 	}
@@ -231,12 +246,12 @@
 	}
 }
 
-// spareMachines returns the machines of the spare pool that can be given to any pool. Machines that await upkeep
+// spareMachines returns the spare machines that can be given to any pool. Machines that await upkeep
 // come last, because their upkeep costs nothing while they are spare.
 func (t *Tables) spareMachines() []Machine {
 	var spare []Machine
 	for _, m := range t.Machines {
-		if _, disrupted := t.Disruptions[m.Name]; m.Pool == t.SparePool && m.State == StateUp && !disrupted && !t.Withheld[m.Name] {
+		if _, disrupted := t.Disruptions[m.Name]; t.isSpare(m) && m.State == StateUp && !disrupted && !t.Withheld[m.Name] {
 			spare = append(spare, m)
 		}
 	}
@@ -244,11 +259,11 @@
 	return spare
 }
 
-// poolNames returns the names of all pools but the spare pool, sorted.
+// poolNames returns the names of the pools in force that have a report, sorted.
 func (t *Tables) poolNames() []apfleet.ServiceName {
 	pools := make([]apfleet.ServiceName, 0, len(t.Pools))
 	for pool := range t.Pools {
-		if pool != t.SparePool {
+		if t.InForce[pool] {
 			pools = append(pools, pool)
 		}
 	}
@@ -256,6 +271,11 @@
 	return pools
 }
 
+// mayGetMachines reports whether machines may be moved to a pool: only to those that the newest settings name.
+func (t *Tables) mayGetMachines(pool apfleet.ServiceName) bool {
+	return t.InForce[pool] || pool == t.SparePool && pool != ""
+}
+
 // shrinkPool opens moves of a pool's least used machines: first to the pools in lacking, which it shortens
 // accordingly, then to the spare pool. Machines with long-running tasks stay, and busy machines move only while
 // machines are scarce.
--- a/pkg/apmachine/wave.go
+++ b/pkg/apmachine/wave.go
@@ -25,6 +25,7 @@
 func Plan(t *Tables) []Action {
 	t.Awaiting = awaitingUpkeep(t)
 	t.updateTrends()
+	t.updateLastNeeded()
 	actions := completeDisruptions(t)
 	// What the plan opens counts as open for the rest of the plan, and is left to the caller to store.
 	stored := t.Disruptions
@@ -50,7 +51,7 @@
 }
 
 // completeDisruptions orders the upkeep or move of machines that have been emptied, and closes disruptions whose
-// machine has been removed or whose worker has been replaced.
+// machine has been removed, whose worker has been replaced, or whose move the newest settings no longer allow.
 func completeDisruptions(t *Tables) []Action {
 	var actions []Action
 	for _, name := range sortedNames(t.Disruptions) {
@@ -63,7 +64,11 @@
 			// The next listings show whether the machine stays.
 		case d.Worker != "" && m.Worker != "" && m.Worker != d.Worker:
 			actions = append(actions, CloseDisruption{Machine: name, Reason: "NewLife"})
-		case m.Pool == t.SparePool || d.Worker == "" || isEmptied(t, d):
+		case d.Kind == KindMove && !t.mayGetMachines(d.Target):
+			actions = append(actions, CloseDisruption{Machine: name, Reason: "TargetNotInForce"})
+		case d.Kind == KindMove && t.keepsMachines(d.Pool):
+			actions = append(actions, CloseDisruption{Machine: name, Reason: "PoolNotInForce"})
+		case t.isSpare(m) || d.Worker == "" || isEmptied(t, d):
 			actions = append(actions, ExecuteDisruption{Disruption: d})
 		}
 	}
@@ -97,14 +102,14 @@
 }
 
 // AwaitingWorkers returns, for each pool, the sorted ids of the workers whose machines will be emptied for a wave.
-// Machines of the spare pool are left out.
+// Spare machines are left out.
 func (t *Tables) AwaitingWorkers() map[apfleet.ServiceName][]apjob.WorkerID {
 	workers := make(map[apfleet.ServiceName][]apjob.WorkerID, len(t.Pools))
 	for pool := range t.Pools {
 		workers[pool] = nil
 	}
 	for _, m := range t.Machines {
-		if m.Pool != t.SparePool && m.State == StateUp && t.Awaiting[m.Name] {
+		if !t.isSpare(m) && m.State == StateUp && t.Awaiting[m.Name] {
 			workers[m.Pool] = append(workers[m.Pool], m.Worker)
 		}
 	}
@@ -159,7 +164,7 @@
 		if down >= limit {
 			break
 		}
-		if m.Pool != t.SparePool && t.disruptedCount(m.Pool)+opening[m.Pool] >= t.maxDisrupted(m.Pool) {
+		if !t.isSpare(m) && t.disruptedCount(m.Pool)+opening[m.Pool] >= t.maxDisrupted(m.Pool) {
 			continue
 		}
 		down++
@@ -185,7 +190,7 @@
 // upkeepCost returns the sort key for the machines of a wave: spare machines come first, then those with the fewest
 // long-running tasks and the lowest CPU use.
 func (t *Tables) upkeepCost(m Machine) float64 {
-	if m.Pool == t.SparePool {
+	if t.isSpare(m) {
 		return -1
 	}
 	pool := t.Pools[m.Pool]
