--- a/pkg/apscheduler/unlisted_test.go
+++ b/pkg/apscheduler/unlisted_test.go
@@ -114,7 +114,7 @@
 	assert.DeepEqual(t, startsAfterPlan(s, now), []apjob.RunKey{run})
 }
 
-func TestReportedRunOfUnknownStepEndsWithoutPanic(_ *testing.T) {
+func TestReportedRunOfUnknownStepEndsWithoutPanic(t *testing.T) {
 	s := apscheduler.New(1)
 	s.Register(workerInfo("w1", 4000), start)
 	def := job(apjob.Step{Count: 1, Need: apjob.Resources{CPU: 1000}})
