apjournal: progress that doesn't fit its job is unreadable, instead of ending each owner

A record of progress with other steps or more tasks than its job has ended the owner while it loaded the shard, and each successor after it; all jobs of the pool stood still. No such record was seen; it takes a fault of another build or a damaged value.

Cause: Load checked that a record can be decoded, not that it belongs to the job; the scheduler reads steps by their number. Now a record without the steps and tasks of its job counts as unreadable: the job isn't run, the record stays, and the others go on.

Failed before: TestJobWithUnreadableProgressIsNotRunAgain, with four more kinds of records ("panic: index out of range [2] with length 2 ... restoreRun").

--- a/internal/apowner/unreadable_test.go
+++ b/internal/apowner/unreadable_test.go
@@ -9,6 +9,8 @@
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
+	"auburnport/pkg/apfleet"
+	"auburnport/pkg/apjob"
 	"auburnport/pkg/apjournal"
 	"auburnport/pkg/apstore"
 	"auburnport/pkg/apstore/memory"
@@ -22,6 +24,25 @@
 }
 
 func TestJobWithUnreadableProgressIsNotRunAgain(t *testing.T) {
+	for name, unreadable := range map[string][]byte{
+		"not a record":      []byte("?"),
+		"too few steps":     progressOf([]apjob.Task{{}, {}, {}}),
+		"too many tasks":    progressOf([]apjob.Task{{}, {}, {}, {Run: 1, Worker: "i-0"}}, []apjob.Task{{}, {}}),
+		"too many steps":    progressOf([]apjob.Task{{}, {}, {}}, []apjob.Task{{}, {}}, []apjob.Task{{Run: 1, Worker: "i-0"}}),
+		"a negative number": apfleet.Encode(apjob.Progress{Occurrences: []apjob.Occurrence{{Number: -1, Steps: [][]apjob.Task{make([]apjob.Task, 3), make([]apjob.Task, 2)}}}}),
+	} {
+		t.Run(name, func(t *testing.T) { checkUnreadableProgress(t, unreadable) })
+	}
+}
+
+// progressOf returns the record of a job whose only occurrence has these steps.
+func progressOf(steps ...[]apjob.Task) []byte {
+	return apfleet.Encode(apjob.Progress{State: apjob.Running, Occurrences: []apjob.Occurrence{{Steps: steps}}})
+}
+
+// checkUnreadableProgress checks that a job whose progress is unreadable isn't run again, and that others are run.
+func checkUnreadableProgress(t *testing.T, unreadable []byte) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		store := memory.TransactionalStore{Store: memory.New()}
 		pool := newFakePool(t, 1, 2)
@@ -36,7 +57,7 @@
 		assert.NilError(t, group.Wait())
 		started := pool.startCount()
 		assert.Equal(t, started, 5)
-		key, unreadable := apjournal.ProgressKey(shard, id), []byte("?")
+		key := apjournal.ProgressKey(shard, id)
 		_, err := store.Commit(t.Context(), apstore.Transaction{Puts: []apstore.Put{{Key: key, Data: unreadable}}})
 		assert.NilError(t, err)
 
--- a/pkg/apjob/progress.go
+++ b/pkg/apjob/progress.go
@@ -83,6 +83,21 @@
 // Check returns a BadMessage error if the record has a state unknown to this version.
 func (p Progress) Check() error { return p.State.Check() }
 
+// CheckProgress returns a BadMessage error unless each occurrence has the steps and tasks of the job.
+func (j *Job) CheckProgress(p Progress) error {
+	for i := range p.Occurrences {
+		o := &p.Occurrences[i]
+		fits := o.Number >= 0 && len(o.Steps) == len(j.Steps)
+		for n := range o.Steps {
+			fits = fits && len(o.Steps[n]) == j.Steps[n].Count
+		}
+		if !fits {
+			return apcode.Errorf(apcode.BadMessage, "occurrence %d doesn't have the steps and tasks of job %s", o.Number, j.ID)
+		}
+	}
+	return nil
+}
+
 // Done reports whether all tasks of the occurrence are done.
 func (o *Occurrence) Done() bool {
 	for n := range o.Steps {
--- a/pkg/apjournal/load.go
+++ b/pkg/apjournal/load.go
@@ -60,7 +60,11 @@
 	for _, value := range progress.Values {
 		id := apjob.ID(strings.TrimPrefix(string(value.Key), string(progressPrefix(j.shard))))
 		var p apjob.Progress
-		if err := apfleet.Decode(value.Data, &p); err != nil {
+		err := apfleet.Decode(value.Data, &p)
+		if stored := state.Jobs[id]; stored != nil && err == nil {
+			err = stored.Job.CheckProgress(p)
+		}
+		if err != nil {
 			// Without its progress, the job would look like one that never ran.
 			delete(state.Jobs, id)
 			state.Unreadable = append(state.Unreadable, value.Key)
