--- a/pkg/apjournal/load.go
+++ b/pkg/apjournal/load.go
@@ -7,6 +7,7 @@
 
 	"auburnport/pkg/apfleet"
 	"auburnport/pkg/apjob"
+	"auburnport/pkg/apstore"
 )
 
 // StoredJob is a submitted job with its progress.
@@ -58,27 +59,31 @@
 		}
 	}
 	for _, value := range progress.Values {
-		id := apjob.ID(strings.TrimPrefix(string(value.Key), string(progressPrefix(j.shard))))
-		var p apjob.Progress
-		err := apfleet.Decode(value.Data, &p)
-		if stored := state.Jobs[id]; stored != nil && err == nil {
-			err = stored.Job.CheckProgress(p)
-		}
-		if err != nil {
-			// Without its progress, the job would look like one that never ran.
-			delete(state.Jobs, id)
-			state.Unreadable = append(state.Unreadable, value.Key)
-			continue
-		}
-		if stored := state.Jobs[id]; stored != nil {
-			stored.Progress, stored.HasProgress = p, true
-		} else if p.State.Final() {
-			state.Retired[id] = time.Unix(p.Ended, 0)
-		}
+		state.addProgress(apjob.ID(strings.TrimPrefix(string(value.Key), string(progressPrefix(j.shard)))), value)
 	}
 	return state, nil
 }
 
+// addProgress adds the record of a job's progress.
+func (s *State) addProgress(id apjob.ID, value apstore.Value) {
+	var p apjob.Progress
+	stored := s.Jobs[id]
+	err := apfleet.Decode(value.Data, &p)
+	if err == nil && stored != nil {
+		err = stored.Job.CheckProgress(p)
+	}
+	switch {
+	case err != nil:
+		// Without its progress, the job would look like one that never ran.
+		delete(s.Jobs, id)
+		s.Unreadable = append(s.Unreadable, value.Key)
+	case stored != nil:
+		stored.Progress, stored.HasProgress = p, true
+	case p.State.Final():
+		s.Retired[id] = time.Unix(p.Ended, 0)
+	}
+}
+
 // DecodeJob decodes a submitted job. Errors: BadMessage, BadJob.
 func DecodeJob(data []byte) (*apjob.Job, error) {
 	var job apjob.Job
