Scenario PoolTooSmall: a short task that fits on no worker of a pool that was made smaller

Found by a trial of AdvisedWorkersFull with machines that move. Callers see a job that isn't started for as long as long-running tasks hold the room, here more than 14 s, though spare machines are there. PoolLoad counts waiting tasks that end only by their estimated work: none without an estimate, little for a short one, so no machine is added.

--- a/internal/apsoak/apsoak.go
+++ b/internal/apsoak/apsoak.go
@@ -137,8 +137,7 @@
 		return err
 	}
 	var machines netip.AddrPort
-	if s.scenario == nil {
-		// In scenarios the pools keep their machines.
+	if s.scenario == nil || s.scenario.moves {
 		var err error
 		if machines, err = s.emulator.ServeMachines(); err != nil {
 			return err
--- a/internal/apsoak/scenario.go
+++ b/internal/apsoak/scenario.go
@@ -18,6 +18,8 @@
 	name string
 	// prepare changes the emulator's options. It may be nil.
 	prepare func(*apemulator.Options)
+	// moves means that the entries may move machines between pools. Otherwise the pools keep theirs.
+	moves bool
 	// queues are those of the first version of the configuration.
 	queues []apemulator.QueueSpec
 	// play plays the events. Every accepted job must then get done, as at the end of a drawn run.
--- a/internal/apsoak/scenario_test.go
+++ b/internal/apsoak/scenario_test.go
@@ -81,11 +81,13 @@
 	playScenario(t, 9, "RebornAsOtherKind")
 }
 
+func TestScenarioPoolGrowsForOneTask(t *testing.T) { playScenario(t, 10, "PoolTooSmall") }
+
 // Each scenario has a test above.
 func TestScenariosAreAllTested(t *testing.T) {
 	assert.DeepEqual(t, apsoak.ScenarioNames(), []string{
 		"QueueMoves", "LatePost", "LastingEndsDone", "QueueReturns", "LabelAfterFailure", "BackfillAfterCrash", "AdvisorMoves",
-		"AdvisedWorkersFull", "ManyOccurrences", "RebornAsOtherKind",
+		"AdvisedWorkersFull", "ManyOccurrences", "RebornAsOtherKind", "PoolTooSmall",
 	})
 	_, err := apsoak.PlayScenario(t.Context(), "NoSuchScenario", apsoak.WithOptions(func(*apsoak.Options) {}), nil)
 	assert.Equal(t, apcode.Of(err), apcode.BadValue)
--- a/internal/apsoak/scenarios.go
+++ b/internal/apsoak/scenarios.go
@@ -27,6 +27,7 @@
 		{name: "AdvisedWorkersFull", prepare: advisedMachines, queues: []apemulator.QueueSpec{find, advised}, play: playAdvisedWorkersFull},
 		{name: "ManyOccurrences", queues: []apemulator.QueueSpec{find, returns}, play: playManyOccurrences},
 		{name: "RebornAsOtherKind", prepare: twoKinds, queues: []apemulator.QueueSpec{find}, play: playRebornAsOtherKind},
+		{name: "PoolTooSmall", moves: true, queues: []apemulator.QueueSpec{find}, play: playPoolTooSmall},
 	}
 }
 
@@ -239,3 +240,20 @@
 	pause(ctx, 4*time.Second)
 	return nil
 }
+
+// smallPools is the number of workers to which the pools shrink for the job of playPoolTooSmall.
+const smallPools = 6
+
+// playPoolTooSmall submits a short task for which the small pool has room in all, but not on one worker. The pool grows for
+// it.
+func playPoolTooSmall(ctx context.Context, s *scene) error {
+	q := newQueue("find", "search")
+	s.submit(ctx, 0, q, s.newJob(q, 0, apjob.Step{
+		Count: 3, Need: apjob.Resources{CPU: 6000, Memory: 2048}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1,
+	}))
+	s.awaitStarts(ctx, 3)
+	shrunk := s.poll(ctx, s.options.FinishTimeout, func() bool { return len(s.emulator.Fleet.WorkerAddresses()) <= smallPools })
+	s.log("%d workers are left: %t", len(s.emulator.Fleet.WorkerAddresses()), shrunk)
+	s.submit(ctx, 1, q, s.newJob(q, time.Second, apjob.Step{Count: 1, Need: apjob.Resources{CPU: 4000, Memory: 1024}, Estimate: 100 * time.Millisecond}))
+	return nil
+}
