apmember, apowner: the shard of a removed service has an owner while workers are registered for it

Callers saw a wave that never ended: the machines of a removed service without jobs were opened for their upkeep, and after a restart of the entry that had owned the shard, nobody emptied them. For the same reason such machines would never be released.

Cause: the shard counted as needing an owner only while it holds jobs.

Evidence, with the new condition taken out: TestShardOfRemovedServiceIsKeptWhileItHasWorkers: []apjournal.Shard( - nil, + {"removed"} )

Change: the owner's counts also say whether workers are registered for its pool, and each entry takes a shard that has some for one that needs an owner. TestCountsTellWhetherTheShardHoldsJobs compares the whole record and so expects the new field.

--- a/internal/apmember/former.go
+++ b/internal/apmember/former.go
@@ -23,7 +23,7 @@
 	formerSettleTime = 30 * time.Second
 )
 
-// Former finds the shards that hold jobs although no pool in force has their name. It reads the store after a change of the
+// Former finds the shards that hold jobs, or have workers, although no pool in force has their name. It reads the store after a change of the
 // settings, and while there are such shards. Use NewFormer.
 type Former struct {
 	store  apstore.TransactionalStore
@@ -34,7 +34,7 @@
 	version   uint64
 	changedAt time.Time
 	scannedAt time.Time
-	// listed means that the last scan found a shard without a pool in force, with or without jobs.
+	// listed means that the last scan found a shard without a pool in force, whether it needs an owner or not.
 	listed bool
 }
 
@@ -94,7 +94,7 @@
 		}
 		f.listed = true
 		var counts apjournal.WaitingCounts
-		if apfleet.Decode(value.Data, &counts) == nil && counts.HoldsJobs {
+		if apfleet.Decode(value.Data, &counts) == nil && (counts.HoldsJobs || counts.HasWorkers) {
 			found = append(found, shard)
 		}
 	}
--- a/internal/apmember/former_test.go
+++ b/internal/apmember/former_test.go
@@ -87,3 +87,26 @@
 		assert.NilError(t, group.Wait())
 	})
 }
+
+// Otherwise no owner empties the workers, and a wave over their machines never ends.
+func TestShardOfRemovedServiceIsKeptWhileItHasWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.TransactionalStore{Store: memory.New()}
+		_, err := store.Commit(t.Context(), apstore.Transaction{Puts: []apstore.Put{
+			{Key: apjournal.WaitingKey("removed"), Data: apfleet.Encode(apjournal.WaitingCounts{HasWorkers: true})},
+		}})
+		assert.NilError(t, err)
+		former := apmember.NewFormer(store, func(string, map[string]any) {})
+		table := serviceTable(1, "present")
+		group := &errgroup.Group{}
+		ctx, stop := context.WithCancel(t.Context())
+		group.Go(func() error { return former.Run(ctx, func() *apqueue.Table { return table }) })
+		time.Sleep(3 * time.Second)
+		assert.DeepEqual(t, former.Shards(), []apjournal.Shard{"removed"})
+		putCounts(t, store, "removed", false)
+		time.Sleep(12 * time.Second)
+		assert.Equal(t, len(former.Shards()), 0)
+		stop()
+		assert.NilError(t, group.Wait())
+	})
+}
--- a/internal/apnode/apnode.go
+++ b/internal/apnode/apnode.go
@@ -237,7 +237,7 @@
 }
 
 // requiredShards lists the shards that must have an owner: one for each pool, one for machines if the platform has a
-// machine service, and those of earlier pools that still hold jobs.
+// machine service, and those of earlier pools that still hold jobs or have workers.
 func (n *Node) requiredShards() []apjournal.Shard {
 	table := n.table.Load()
 	if table == nil {
--- a/internal/apowner/holds_test.go
+++ b/internal/apowner/holds_test.go
@@ -40,7 +40,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		group.Go(func() error { return runOwner(ctx, t, store, pool, "owner") })
 		time.Sleep(2 * time.Second)
-		assert.DeepEqual(t, storedCounts(t, store), apjournal.WaitingCounts{Queues: map[apjob.Queue]int{}})
+		assert.DeepEqual(t, storedCounts(t, store), apjournal.WaitingCounts{Queues: map[apjob.Queue]int{}, HasWorkers: true})
 		id := submit(t, store, 1)
 		time.Sleep(2 * time.Second)
 		assert.Assert(t, storedCounts(t, store).HoldsJobs)
@@ -53,3 +53,26 @@
 		assert.NilError(t, group.Wait())
 	})
 }
+
+func TestCountsTellWhetherTheShardHasWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.TransactionalStore{Store: memory.New()}
+		pool := newFakePool(t, 1, 2)
+		pool.register(t, store)
+		group := &errgroup.Group{}
+		ctx, cancel := context.WithCancel(t.Context())
+		group.Go(func() error { return runOwner(ctx, t, store, pool, "owner") })
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, storedCounts(t, store).HasWorkers)
+		var write apstore.Transaction
+		for id := range pool.workers {
+			write.Removals = append(write.Removals, registrationKey(id))
+		}
+		_, err := store.Commit(t.Context(), write)
+		assert.NilError(t, err)
+		time.Sleep(20 * time.Second)
+		assert.Assert(t, !storedCounts(t, store).HasWorkers)
+		cancel()
+		assert.NilError(t, group.Wait())
+	})
+}
--- a/internal/apowner/store.go
+++ b/internal/apowner/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"time"
 
 	"auburnport/pkg/apfleet"
@@ -68,9 +67,10 @@
 		return apjournal.WaitingCounts{}, false
 	}
 	o.waitingCountedAt = now
-	counts := apjournal.WaitingCounts{Queues: o.scheduler.WaitingJobs(), HoldsJobs: o.scheduler.HoldsJobs() || len(o.retiredAt) > 0}
-	stored := o.storedCounts
-	return counts, stored == nil || counts.HoldsJobs != stored.HoldsJobs || !maps.Equal(counts.Queues, stored.Queues)
+	counts := apjournal.WaitingCounts{
+		Queues: o.scheduler.WaitingJobs(), HoldsJobs: o.scheduler.HoldsJobs() || len(o.retiredAt) > 0, HasWorkers: o.scheduler.HasWorkers(),
+	}
+	return counts, o.storedCounts == nil || !counts.Equal(*o.storedCounts)
 }
 
 const (
--- a/pkg/apjournal/records.go
+++ b/pkg/apjournal/records.go
@@ -1,6 +1,7 @@
 package apjournal
 
 import (
+	"maps"
 	"net/netip"
 
 	"auburnport/pkg/apcode"
@@ -68,9 +69,16 @@
 // WaitingCounts holds the number of a shard's waiting jobs by queue.
 type WaitingCounts struct {
 	Queues map[apjob.Queue]int `cbor:"Queues"`
-	// HoldsJobs means that jobs, or their ends, are stored in the shard, so that it needs an owner even if no pool in force
-	// has its name. Owners older than the field leave it out.
-	HoldsJobs bool `cbor:"HoldsJobs,omitempty"`
+	// HoldsJobs means that jobs, or their ends, are stored in the shard. HasWorkers means that workers are registered for its
+	// pool; only an owner can empty their machines. Either way the shard needs an owner even if no pool in force has its
+	// name. Owners older than a field leave it out.
+	HoldsJobs  bool `cbor:"HoldsJobs,omitempty"`
+	HasWorkers bool `cbor:"HasWorkers,omitempty"`
+}
+
+// Equal reports whether two records say the same.
+func (w WaitingCounts) Equal(v WaitingCounts) bool {
+	return w.HoldsJobs == v.HoldsJobs && w.HasWorkers == v.HasWorkers && maps.Equal(w.Queues, v.Queues)
 }
 
 // Check accepts every count.
--- a/pkg/apscheduler/evacuate.go
+++ b/pkg/apscheduler/evacuate.go
@@ -138,6 +138,16 @@
 	return o != nil && o.phase == phaseRunning && o.percent >= readyPercent
 }
 
+// HasWorkers reports whether a worker is registered for the shard's pool.
+func (s *Shard) HasWorkers() bool {
+	for _, w := range s.workers {
+		if w.registered {
+			return true
+		}
+	}
+	return false
+}
+
 // Load describes the demand on the shard's pool.
 type Load struct {
 	// LongRunning counts the long-running tasks on each worker.
