apintake: a write is settled in one place

Submissions and tombstones each had a loop that repeats a conditional write until its outcome is known. settle holds it now, and submission builds what a submission stores. One case differs: a store that answers a write without a lease with "no such lease", which its protocol doesn't allow, is asked again until the caller's time has passed.

--- a/internal/apintake/apintake.go
+++ b/internal/apintake/apintake.go
@@ -21,7 +21,7 @@
 	MaxSettingsAge time.Duration
 	// WaitingCacheTTL is how long a count of waiting jobs is cached.
 	WaitingCacheTTL time.Duration
-	// RetryDelay is the delay between retries of a submission.
+	// RetryDelay is the delay between attempts at a write whose outcome is unknown.
 	RetryDelay time.Duration
 	// TombstoneTTL is the duration of the leases of tombstones.
 	TombstoneTTL time.Duration
--- a/internal/apintake/jobs.go
+++ b/internal/apintake/jobs.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"auburnport/pkg/apcode"
 	"auburnport/pkg/apfleet"
@@ -22,6 +21,27 @@
 }
 
 func (i *Intake) submit(ctx context.Context, queue apqueue.Queue, job *apjob.Job) error {
+	transaction := submission(queue, job)
+	err := i.settle(ctx, func() error {
+		result, err := i.store.Commit(ctx, transaction)
+		if !apcode.Is(err, apcode.StoreConflict) {
+			return err
+		}
+		if tombstoneIn(result.Current, apjournal.LocationKey(job.ID)) {
+			return errCancelled(job.ID)
+		}
+		// The job is already stored.
+		return nil
+	})
+	if apcode.Is(err, apcode.StoreUnknown) {
+		return apcode.Errorf(apcode.JobUnsettled, "job %s: the store has not confirmed the write", job.ID)
+	}
+	return err
+}
+
+// submission returns the transaction that stores a job with the present settings of its queue, unless it is already stored, has
+// ended or has a tombstone.
+func submission(queue apqueue.Queue, job *apjob.Job) apstore.Transaction {
 	shard := shardOf(queue)
 	key, locationKey := apjournal.JobKey(shard, job.ID), apjournal.LocationKey(job.ID)
 	accepted := *job
@@ -29,34 +49,10 @@
 		MaxAttempts: queue.MaxAttempts, Stretch: queue.Stretch, Slack: queue.Slack, Priority: queue.Priority, NeedsTicket: queue.Advice != nil,
 	}
 	location := apjournal.Location{Shard: shard, Queue: queue.Name, Host: queue.Host, Prefix: queue.Prefix}
-	transaction := apstore.Transaction{
+	return apstore.Transaction{
 		Conditions: []apstore.Condition{{Key: locationKey}, {Key: key}, {Key: apjournal.ProgressKey(shard, job.ID)}},
 		Puts:       []apstore.Put{{Key: key, Data: apfleet.Encode(accepted)}, {Key: locationKey, Data: apfleet.Encode(location)}},
 	}
-	maybeStored := false
-	for {
-		result, err := i.store.Commit(ctx, transaction)
-		switch apcode.Of(err) {
-		case apcode.OK:
-			return nil
-		case apcode.StoreConflict:
-			if tombstoneIn(result.Current, locationKey) {
-				return errCancelled(job.ID)
-			}
-			return nil
-		case apcode.StoreUnknown:
-			maybeStored = true
-		default:
-			if !maybeStored {
-				return err
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return apcode.Errorf(apcode.JobUnsettled, "job %s: the store has not confirmed the write", job.ID)
-		case <-time.After(i.options.RetryDelay):
-		}
-	}
 }
 
 // Status returns a job's state. Errors: NoSuchJob, StoreUnavailable, BadMessage.
--- a/internal/apintake/tombstone.go
+++ b/internal/apintake/tombstone.go
@@ -83,31 +83,23 @@
 		return apcode.Errorf(apcode.CancelsLimited, "job %s is not stored; %g such cancels a second are allowed", id, i.options.UnknownCancelRate)
 	}
 	var lost apstore.LeaseID
-	maybeStored := false
-	for {
+	err := i.settle(ctx, func() error {
 		lease, err := i.leaseFor(ctx, lost)
 		if err == nil {
 			err = i.putTombstone(ctx, shard, id, lease)
 		}
-		switch apcode.Of(err) {
-		case apcode.OK:
-			return errCancelled(id)
-		case apcode.StoreConflict:
-			return err
-		case apcode.LeaseLost:
+		if apcode.Is(err, apcode.LeaseLost) {
 			lost = lease
-		case apcode.StoreUnknown:
-			maybeStored = true
-		default:
-			if !maybeStored {
-				return err
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return apcode.Errorf(apcode.StoreUnknown, "the store has not confirmed the cancelling of job %s", id)
-		case <-time.After(i.options.RetryDelay):
 		}
+		return err
+	})
+	switch apcode.Of(err) {
+	case apcode.OK:
+		return errCancelled(id)
+	case apcode.StoreUnknown:
+		return apcode.Errorf(apcode.StoreUnknown, "the store has not confirmed the cancelling of job %s", id)
+	default:
+		return err
 	}
 }
 
