--- a/internal/apmember/former.go
+++ b/internal/apmember/former.go
@@ -60,32 +60,40 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
-			if t := table(); t != nil && f.due(t, now) {
-				f.scan(ctx, t, now)
+			t := table()
+			if t == nil {
+				continue
+			}
+			f.noteVersion(t.Version, now)
+			if f.due(now) {
+				f.scan(ctx, t.Pools(), now)
 			}
 		}
 	}
 }
 
-// due reports whether the store should be read now.
-func (f *Former) due(table *apqueue.Table, now time.Time) bool {
-	if table.Version != f.version {
-		f.version, f.changedAt, f.scannedAt, f.listed = table.Version, now, time.Time{}, true
+// noteVersion starts the scans that follow a change of the settings.
+func (f *Former) noteVersion(version uint64, now time.Time) {
+	if version != f.version {
+		f.version, f.changedAt, f.scannedAt, f.listed = version, now, time.Time{}, true
 	}
+}
+
+// due reports whether the store should be read now.
+func (f *Former) due(now time.Time) bool {
 	if now.Sub(f.scannedAt) < formerScanInterval {
 		return false
 	}
 	return len(f.Shards()) > 0 || f.listed && now.Sub(f.changedAt) < formerSettleTime
 }
 
-func (f *Former) scan(ctx context.Context, table *apqueue.Table, now time.Time) {
+func (f *Former) scan(ctx context.Context, pools []apfleet.ServiceName, now time.Time) {
 	page, err := f.store.Scan(ctx, apjournal.PrefixWaiting)
 	if err != nil {
 		f.log("FormerShardsUnread", map[string]any{"Error": err})
 		return
 	}
 	f.scannedAt, f.listed = now, false
-	pools := table.Pools()
 	var found []apjournal.Shard
 	for _, value := range page.Values {
 		shard, ok := apjournal.ParseWaitingKey(value.Key)
