--- a/pkg/apmachine/former_test.go
+++ b/pkg/apmachine/former_test.go
@@ -104,3 +104,17 @@
 	executed, _ = movesByTarget(apmachine.Plan(tables))
 	assert.Equal(t, executed["b"], 6, "all machines but the three of the wave are spare now")
 }
+
+// The pool's machines have gone, and its last report is from before it was removed.
+func TestPoolThatReturnsGetsMachinesAgain(t *testing.T) {
+	tables := newTables(map[apfleet.ServiceName]int{"a": 0, "b": 3}, 10)
+	delete(tables.InForce, "a")
+	for range 40 {
+		executed, _ := movesByTarget(apmachine.Plan(tables))
+		assert.Equal(t, executed["a"], 0)
+		tables.Now = tables.Now.Add(time.Second)
+	}
+	tables.InForce["a"] = true
+	executed, _ := movesByTarget(apmachine.Plan(tables))
+	assert.Equal(t, executed["a"], 3)
+}
