--- a/internal/apintake/jobs.go
+++ b/internal/apintake/jobs.go
@@ -91,8 +91,7 @@
 }
 
 // Cancel asks the shard's owner to cancel a job. It also succeeds when the job has ended. Errors: NoSuchJob (it isn't
-// stored, nor will be by a submission that is under way), CancelsLimited, StoreUnavailable, StoreUnknown, StoreConflict (ctx
-// ended between retries).
+// stored, nor will be by a submission that is under way), CancelsLimited, StoreUnavailable, StoreUnknown.
 func (i *Intake) Cancel(ctx context.Context, queue apqueue.Queue, id apjob.ID) error {
 	err := i.cancel(ctx, queue, id)
 	if apcode.Is(err, apcode.JobCancelled) {
--- a/internal/apintake/location.go
+++ b/internal/apintake/location.go
@@ -15,8 +15,8 @@
 // location says, and there once more, as the job may have been retired between the reads of its two records.
 const maxLookups = 3
 
-// inShardOf calls act with the shard of the queue's present service. If the job isn't there, it calls act with the one that the
-// job's location names. Errors: those of act and of the store, and JobCancelled.
+// inShardOf calls act with the shard of the queue's present service. If act returns NoSuchJob, the job isn't there, and act is
+// called with the shard that the job's location names. Errors: those of act and of the store, and JobCancelled.
 func (i *Intake) inShardOf(ctx context.Context, queue apqueue.Queue, id apjob.ID, act func(apjournal.Shard) error) error {
 	shard := shardOf(queue)
 	for attempt := 1; ; attempt++ {
@@ -46,7 +46,7 @@
 	return location, true, apfleet.Decode(value.Data, &location)
 }
 
-// FindAccepted returns the job that a request names whose host and path no present queue has, and the queue as it was when it
+// FindAccepted returns the job of a request whose host and path belong to no present queue, and the queue as it was when it
 // accepted the job. Errors: NoSuchQueue, StoreUnavailable, BadMessage.
 func (i *Intake) FindAccepted(ctx context.Context, host, requestPath string) (apqueue.Queue, apjob.ID, error) {
 	id := apjob.ID(path.Base(requestPath))
--- a/internal/apintake/tombstone.go
+++ b/internal/apintake/tombstone.go
@@ -25,6 +25,9 @@
 	lease    apstore.LeaseID
 	useUntil time.Time
 
+	// rate is how many tokens come in a second, burst how many there are at most.
+	rate, burst float64
+
 	mu sync.Mutex
 	// tokens is the number of tombstones that may be stored at refilledAt.
 	tokens     float64
@@ -32,17 +35,18 @@
 }
 
 func newTombstones(options Options) *tombstones {
-	return &tombstones{leasing: make(chan struct{}, 1), tokens: float64(options.UnknownCancelBurst)}
+	burst := float64(options.UnknownCancelBurst)
+	return &tombstones{leasing: make(chan struct{}, 1), rate: options.UnknownCancelRate, burst: burst, tokens: burst}
 }
 
-// take reports whether a tombstone may be stored now. No more than UnknownCancelBurst and UnknownCancelRate times the age of the
-// oldest one are in the store.
-func (t *tombstones) take(now time.Time, options Options) bool {
+// takeToken reports whether a tombstone may be stored now. No more than burst and rate times the age of the oldest one are in
+// the store.
+func (t *tombstones) takeToken(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.refilledAt.IsZero() {
-		refill := options.UnknownCancelRate * now.Sub(t.refilledAt).Seconds()
-		t.tokens = min(t.tokens+max(0, refill), float64(options.UnknownCancelBurst))
+		refill := t.rate * now.Sub(t.refilledAt).Seconds()
+		t.tokens = min(t.tokens+max(0, refill), t.burst)
 	}
 	t.refilledAt = now
 	if t.tokens < 1 {
@@ -79,7 +83,7 @@
 // tombstone is stored, CancelsLimited and StoreUnavailable (nothing was done), StoreConflict if the job is stored, StoreUnknown if
 // ctx ends first.
 func (i *Intake) forbid(ctx context.Context, shard apjournal.Shard, id apjob.ID) error {
-	if !i.tombstones.take(time.Now(), i.options) {
+	if !i.tombstones.takeToken(time.Now()) {
 		return apcode.Errorf(apcode.CancelsLimited, "job %s is not stored; %g such cancels a second are allowed", id, i.options.UnknownCancelRate)
 	}
 	var lost apstore.LeaseID
--- a/pkg/apscheduler/advice.go
+++ b/pkg/apscheduler/advice.go
@@ -118,7 +118,7 @@
 	for _, w := range possible {
 		if now.Add(minTicketValidity).Before(a.tickets[w.info.ID].expiresAt) {
 			ready = append(ready, w)
-			if s.unwelcome(q, w) == 0 {
+			if s.lastResortPenalty(q, w) == 0 {
 				room += q.countIn(w.info.Capacity.Sub(w.used), w)
 			}
 		}
@@ -150,7 +150,7 @@
 func (s *Shard) queueQuestion(q *search, a *stepAdvice, candidates []*worker, limit int) {
 	slices.SortFunc(candidates, func(x, y *worker) int {
 		return cmp.Or(
-			-apfleet.CompareBool(q.couldRun(x), q.couldRun(y)), cmp.Compare(s.unwelcome(q, x), s.unwelcome(q, y)),
+			-apfleet.CompareBool(q.couldRun(x), q.couldRun(y)), cmp.Compare(s.lastResortPenalty(q, x), s.lastResortPenalty(q, y)),
 			-apfleet.CompareBool(a.allowed[x.info.ID], a.allowed[y.info.ID]), cmp.Compare(x.used.CPU, y.used.CPU), cmp.Compare(x.info.ID, y.info.ID),
 		)
 	})
--- a/pkg/apscheduler/choose.go
+++ b/pkg/apscheduler/choose.go
@@ -71,7 +71,7 @@
 }
 
 // bestWorker returns the eligible worker with the highest score among those that could run the task now, or nil. All ways of
-// placing choose with it. While the task is patient, it is placed on an unwelcome worker only if none of the possible ones is better.
+// placing choose with it. While the task is patient, a last resort is chosen only if no possible worker is better.
 func (s *Shard) bestWorker(q *search, eligible, possible []*worker, now time.Time) *worker {
 	var best *worker
 	var bestScore, bestPenalty float64
@@ -79,14 +79,14 @@
 		if !q.couldRun(w) {
 			continue
 		}
-		penalty := s.unwelcome(q, w)
+		penalty := s.lastResortPenalty(q, w)
 		score := s.placementScore(q.step, q.placement, w) - penalty
 		if best == nil || score > bestScore {
 			best, bestScore, bestPenalty = w, score, penalty
 		}
 	}
 	if bestPenalty > 0 && now.Before(q.patientUntil) && slices.ContainsFunc(possible, func(w *worker) bool {
-		return s.unwelcome(q, w) == 0 && s.countLater(q, w) > 0
+		return s.lastResortPenalty(q, w) == 0 && s.countLater(q, w) > 0
 	}) {
 		return nil
 	}
@@ -100,9 +100,9 @@
 	conflictPenalty = 10
 )
 
-// unwelcome returns the penalty of a worker that a task uses only as a last resort, 0 for others. A backfill task that no other
+// lastResortPenalty returns the penalty of a worker that a task uses only as a last resort, 0 for others. A backfill task that no other
 // worker can run is placed beside serving ones: it is paused when their latency nears its target.
-func (s *Shard) unwelcome(q *search, w *worker) float64 {
+func (s *Shard) lastResortPenalty(q *search, w *worker) float64 {
 	penalty := 0.0
 	if s.latencyConflict(q.step, w) {
 		penalty += avoidPenalty
@@ -116,8 +116,8 @@
 	return penalty
 }
 
-// setPatience sets the search to a task of the step with its failures. A backfill step is patient from when it first waited, a task from
-// when it last failed. A long-running task may fail for reasons of its own.
+// setPatience sets the failures of the task to be placed, and until when it is patient. A task of a backfill step is so from when the
+// step first waited, and each task that isn't long-running from when it last failed. A long-running one may fail for reasons of its own.
 func (q *search) setPatience(failures taskFailures) {
 	q.failedOn, q.patientUntil = failures.workers, time.Time{}
 	if q.step.Backfill {
