apcontroller: nothing is planned without settings

An owner of the machines that has no settings yet would take no target for one in force, and close the moves that a previous owner opened. Entries claim the shard only once they have settings, so callers have not seen it.

Evidence, before the change: TestControllerWithoutSettingsKeepsOpenMoves: value.Revision is 0: the move was closed

--- a/internal/apcontroller/apcontroller.go
+++ b/internal/apcontroller/apcontroller.go
@@ -44,8 +44,9 @@
 	Journal  *apjournal.Journal
 	Machines Machines
 	Waves    Waves
-	Queues   func() *apqueue.Table
-	Log      aplog.EventFunc
+	// Queues returns the newest settings, or nil while there are none. Nothing is planned without settings.
+	Queues func() *apqueue.Table
+	Log    aplog.EventFunc
 	// OrderLease is the minimum time between orders of two different shard owners for one machine.
 	OrderLease time.Duration
 	// PermitTTL is how long an owner that has not released the shard may still act after its successor claimed it.
@@ -215,7 +216,11 @@
 	if now.Sub(c.startedAt) >= c.inheritedWait() {
 		clear(c.tables.Withheld)
 	}
-	c.setPoolsInForce()
+	table := c.config.Queues()
+	if table == nil {
+		return nil
+	}
+	c.setPoolsInForce(table)
 	actions := apmachine.Plan(&c.tables)
 	c.logPoolSizes()
 	if err := c.publishAwaiting(ctx, now); err != nil {
@@ -225,11 +230,7 @@
 }
 
 // setPoolsInForce takes from the newest settings which pools may get machines.
-func (c *Controller) setPoolsInForce() {
-	table := c.config.Queues()
-	if table == nil {
-		return
-	}
+func (c *Controller) setPoolsInForce(table *apqueue.Table) {
 	c.tables.SparePool, c.tables.InForce = "", make(map[apfleet.ServiceName]bool, len(table.Services))
 	for _, s := range table.Services {
 		if s.Spare {
--- a/internal/apcontroller/settings_test.go
+++ b/internal/apcontroller/settings_test.go
@@ -88,3 +88,31 @@
 		assert.NilError(t, group.Wait())
 	})
 }
+
+// Without settings no target of a move is known to be in force, which must not end the moves that a previous owner opened.
+func TestControllerWithoutSettingsKeepsOpenMoves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.TransactionalStore{Store: memory.New()}
+		f := movingFleet{newFleet(4), make(map[apfleet.ServiceName]int)}
+		f.machines[0].Pool, f.machines[0].Worker = "a", "i-0"
+		key := apjournal.PrefixDisruptions + apfleet.Key(f.machines[0].Name)
+		open := apmachine.Disruption{Machine: f.machines[0].Name, Worker: "i-0", Pool: "a", Kind: apmachine.KindMove, Target: "b"}
+		_, err := store.Commit(t.Context(), apstore.Transaction{Puts: []apstore.Put{{Key: key, Data: apfleet.Encode(open)}}})
+		assert.NilError(t, err)
+		journal, err := apjournal.Claim(t.Context(), store, apjournal.MachineShard, "owner", 0)
+		assert.NilError(t, err)
+		ctx, stop := context.WithTimeout(t.Context(), 3*time.Second)
+		defer stop()
+		assert.NilError(t, apcontroller.New(apcontroller.Config{
+			Store: store, Journal: journal, Machines: f, Waves: waves{}, Queues: func() *apqueue.Table { return nil },
+			Log: func(string, map[string]any) {}, OrderLease: 3 * time.Second, PermitTTL: 1500 * time.Millisecond, MinDowntime: downtime,
+		}).Run(ctx))
+		value, err := store.Read(t.Context(), key)
+		assert.NilError(t, err)
+		var stored apmachine.Disruption
+		assert.Assert(t, value.Revision != 0, "the move was closed")
+		assert.NilError(t, apfleet.Decode(value.Data, &stored))
+		assert.Equal(t, stored.Target, open.Target)
+		assert.Assert(t, !stored.Ordered)
+	})
+}
