--- a/internal/apmember/former.go
+++ b/internal/apmember/former.go
@@ -23,7 +23,7 @@
 	formerSettleTime = 30 * time.Second
 )
 
-// Former finds the shards that hold jobs although no pool in force has their name. It reads the store after a change of the
+// Former finds the shards that hold jobs, or have workers, although no pool in force has their name. It reads the store after a change of the
 // settings, and while there are such shards. Use NewFormer.
 type Former struct {
 	store  apstore.TransactionalStore
@@ -34,7 +34,7 @@
 	version   uint64
 	changedAt time.Time
 	scannedAt time.Time
-	// listed means that the last scan found a shard without a pool in force, with or without jobs.
+	// listed means that the last scan found a shard without a pool in force, whether it needs an owner or not.
 	listed bool
 }
 
@@ -60,32 +60,40 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
-			if t := table(); t != nil && f.due(t, now) {
-				f.scan(ctx, t, now)
+			t := table()
+			if t == nil {
+				continue
+			}
+			f.noteVersion(t.Version, now)
+			if f.due(now) {
+				f.scan(ctx, t.Pools(), now)
 			}
 		}
 	}
 }
 
-// due reports whether the store should be read now.
-func (f *Former) due(table *apqueue.Table, now time.Time) bool {
-	if table.Version != f.version {
-		f.version, f.changedAt, f.scannedAt, f.listed = table.Version, now, time.Time{}, true
+// noteVersion starts the scans that follow a change of the settings.
+func (f *Former) noteVersion(version uint64, now time.Time) {
+	if version != f.version {
+		f.version, f.changedAt, f.scannedAt, f.listed = version, now, time.Time{}, true
 	}
+}
+
+// due reports whether the store should be read now.
+func (f *Former) due(now time.Time) bool {
 	if now.Sub(f.scannedAt) < formerScanInterval {
 		return false
 	}
 	return len(f.Shards()) > 0 || f.listed && now.Sub(f.changedAt) < formerSettleTime
 }
 
-func (f *Former) scan(ctx context.Context, table *apqueue.Table, now time.Time) {
+func (f *Former) scan(ctx context.Context, pools []apfleet.ServiceName, now time.Time) {
 	page, err := f.store.Scan(ctx, apjournal.PrefixWaiting)
 	if err != nil {
 		f.log("FormerShardsUnread", map[string]any{"Error": err})
 		return
 	}
 	f.scannedAt, f.listed = now, false
-	pools := table.Pools()
 	var found []apjournal.Shard
 	for _, value := range page.Values {
 		shard, ok := apjournal.ParseWaitingKey(value.Key)
@@ -94,7 +102,7 @@
 		}
 		f.listed = true
 		var counts apjournal.WaitingCounts
-		if apfleet.Decode(value.Data, &counts) == nil && counts.HoldsJobs {
+		if apfleet.Decode(value.Data, &counts) == nil && (counts.HoldsJobs || counts.HasWorkers) {
 			found = append(found, shard)
 		}
 	}
