apscheduler: backfill goes on beside serving tasks that are never idle, and a pace is ordered until reports show it

Cause: a paused run was resumed at full pace below 0.4 only, and a run counted as paused or resumed as soon as the order was queued.

Change: between the two ratios the pace rises by a fifth each second, up to what was too much in the last 10 s. At 0.8 the run is paused as before, and below 0.4 it gets its full pace. What a report shows of a run's use of CPU is compared with its pace, and the order sent again; a run that an earlier owner started gets an order.

--- a/pkg/apscheduler/job.go
+++ b/pkg/apscheduler/job.go
@@ -171,7 +171,7 @@
 		return
 	}
 	w := s.ensureWorker(t.Worker, now)
-	o := &occupant{need: j.def.Steps[id.Step].Reserved(), phase: phaseOrdered, outcomeUnknown: true, inherited: true, sentAt: now, checkpoint: t.Checkpoint}
+	o := &occupant{need: j.def.Steps[id.Step].Reserved(), phase: phaseOrdered, outcomeUnknown: true, inherited: true, sentAt: now, checkpoint: t.Checkpoint, pace: pacing{unknown: true}}
 	if j.state().Final() {
 		o.phase, o.sentAt = phaseStopping, time.Time{}
 	}
--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -80,7 +80,7 @@
 	s.learnTerms(now)
 	s.expireLeases(now)
 	s.queueDueRecords(now)
-	s.throttleBackfill()
+	s.throttleBackfill(now)
 	s.addDueOccurrences(wall)
 	pool := s.newPool(now)
 	s.evacuate(pool, now)
--- a/pkg/apscheduler/report.go
+++ b/pkg/apscheduler/report.go
@@ -145,6 +145,7 @@
 func (s *Shard) adoptOrStop(w *worker, status apworker.RunStatus, now time.Time) *occupant {
 	t, step := s.task(status.Run.Task)
 	o := &occupant{phase: phaseRunning, answeredAt: now, startedAt: now, percentAt: now, percent: status.Percent, checkpoint: status.Checkpoint}
+	o.pace.unknown = true
 	if step != nil {
 		o.need = step.Reserved()
 	}
--- a/pkg/apscheduler/worker.go
+++ b/pkg/apscheduler/worker.go
@@ -59,8 +59,8 @@
 	ticket           string
 	// evacuationWait is the last logged reason why the run is not evacuated yet.
 	evacuationWait string
-	// throttled means that the run was paused by a Pace order.
-	throttled bool
+	// pace is that of a backfill run.
+	pace pacing
 	// sizeUnknown means that the resources of the run are unknown because the shard doesn't know its step.
 	sizeUnknown bool
 }
