--- a/internal/apsoak/load_draw.go
+++ b/internal/apsoak/load_draw.go
@@ -98,10 +98,6 @@
 	}
 	for _, step := range a.Submission.Job.Steps {
 		a.Features = a.Features.withStep(step)
-		if step.Image == harmfulImage {
-			// Such tasks may be paused for as long as serving tasks are beside them.
-			a.Features = a.Features.With(FeatureCancel)
-		}
 	}
 	return a
 }
