apowner: an advisor that refuses is not asked in a loop

What callers saw: nothing; an entry spent its processor share on questions and log lines (thousands a second, seen by the soak as the advisor moved) while an advisor refused connections.

Evidence, without the delay: see the count of TestAdvisorThatRefusesIsNotAskedInALoop, which asks for 20 to 100 questions in 20 s.

Change: the result of a question that wasn't answered is applied 0.2 s later, so that the next one waits as long.

--- a/internal/apowner/advisor_test.go
+++ b/internal/apowner/advisor_test.go
@@ -75,3 +75,39 @@
 		})
 	}
 }
+
+// refusingAdvisor refuses each question at once and counts them.
+type refusingAdvisor struct{ asked atomic.Int64 }
+
+func (r *refusingAdvisor) Advise(context.Context, apjob.StepID, []apjob.WorkerID) (apworker.Advice, error) {
+	r.asked.Add(1)
+	return apworker.Advice{}, apcode.Errorf(apcode.WorkerGone, "connection refused")
+}
+
+func TestAdvisorThatRefusesIsNotAskedInALoop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.TransactionalStore{Store: memory.New()}
+		pool := newFakePool(t, 1, 2)
+		pool.register(t, store)
+		lease, err := store.Grant(t.Context(), time.Hour)
+		assert.NilError(t, err)
+		journal, err := apjournal.Claim(t.Context(), store, shard, "owner", lease)
+		assert.NilError(t, err)
+		table := &apqueue.Table{Queues: []apqueue.Queue{{Name: "q", Service: "pool", MaxAttempts: 3, Stretch: 2, Slack: time.Second, Advice: &apqueue.AdvisorTiming{}}}}
+		advisor := &refusingAdvisor{}
+		owner := apowner.New(apowner.Config{
+			Shard: shard, Store: store, Workers: pool, Registry: fakeRegistry{}, Journal: journal,
+			Queues: func() *apqueue.Table { return table }, Log: func(string, map[string]any) {}, ObserveDuration: func(string, time.Duration) {},
+			Advisor: func() apworker.Advisor { return advisor },
+		})
+		group := &errgroup.Group{}
+		ctx, cancel := context.WithCancel(t.Context())
+		group.Go(func() error { return owner.Run(ctx) })
+		submit(t, store, 1)
+		time.Sleep(20 * time.Second)
+		asked := advisor.asked.Load()
+		assert.Assert(t, asked >= 20 && asked <= 100, "%d questions in 20 s", asked)
+		cancel()
+		assert.NilError(t, group.Wait())
+	})
+}
--- a/internal/apowner/workers.go
+++ b/internal/apowner/workers.go
@@ -288,6 +288,9 @@
 	o.scheduler.OrderAnswered(result.worker, result.run, result.stop, result.err, now)
 }
 
+// advisorBackoff is the delay before the next question after one that wasn't answered.
+const advisorBackoff = 200 * time.Millisecond
+
 // askAdvisor sends the oldest question to the advisor. Only one is sent at a time because the advisor serves
 // the calls of an entry one after another.
 func (o *Owner) askAdvisor(ctx context.Context) {
@@ -306,6 +309,9 @@
 		started := time.Now()
 		answer, err := advisor.Advise(ctx, question.Step, question.Workers)
 		o.config.ObserveDuration("advice", time.Since(started))
+		if err != nil {
+			apstore.Sleep(ctx, advisorBackoff)
+		}
 		o.post(ctx, func(now time.Time) {
 			o.advisorBusy = false
 			o.scheduler.ApplyAdvice(question, answer, err, now)
