apscheduler: only steps that get reservations are looked at for them

By reading: each step of a backlog that found no room had its placement worked out, to reserve nothing.

Change: steps that are neither long-running nor a starved gang are left out first, as before.

--- a/pkg/apscheduler/reserve.go
+++ b/pkg/apscheduler/reserve.go
@@ -124,6 +124,9 @@
 
 // reserveWorkers reserves workers for the step of a candidate that found no room.
 func (s *Shard) reserveWorkers(pool *workerPool, c *candidate, now time.Time) {
+	if c.urgency != urgencyStarvedGang && c.urgency != urgencyLongRunning {
+		return
+	}
 	step := &c.job.def.Steps[c.step]
 	q := &search{id: c.id(), step: step, placement: s.placementOf(c.job, c.occurrence, c.step, c.job.occurrence(c.occurrence).Steps[c.step])}
 	possible := s.withoutDenied(q.id, pool.open)
