--- a/internal/apintake/jobs.go
+++ b/internal/apintake/jobs.go
@@ -105,7 +105,7 @@
 	for range maxLookups {
 		err := i.inShardOf(ctx, queue, id, func(shard apjournal.Shard) error { return i.cancelIn(ctx, shard, id) })
 		if apcode.Is(err, apcode.NoSuchJob) {
-			err = i.forbid(ctx, shardOf(queue), id)
+			err = i.forbid(ctx, id, shardOf(queue))
 		}
 		if err == nil || !apcode.Is(err, apcode.StoreConflict) {
 			return err
--- a/internal/apintake/tombstone.go
+++ b/internal/apintake/tombstone.go
@@ -79,10 +79,11 @@
 	return lease, nil
 }
 
-// forbid stores the tombstone of a job that isn't stored. It retries until the outcome is known. Errors: JobCancelled once the
+// forbid stores the tombstone of a job that isn't stored: it has no location, and isn't in the given shards, in which earlier builds may
+// have stored it without one. It retries until the outcome is known. Errors: JobCancelled once the
 // tombstone is stored, CancelsLimited and StoreUnavailable (nothing was done), StoreConflict if the job is stored, StoreUnknown if
 // ctx ends first.
-func (i *Intake) forbid(ctx context.Context, shard apjournal.Shard, id apjob.ID) error {
+func (i *Intake) forbid(ctx context.Context, id apjob.ID, shards ...apjournal.Shard) error {
 	if !i.tombstones.takeToken(time.Now()) {
 		return apcode.Errorf(apcode.CancelsLimited, "job %s is not stored; %g such cancels a second are allowed", id, i.options.UnknownCancelRate)
 	}
@@ -90,7 +91,7 @@
 	err := i.settle(ctx, func() error {
 		lease, err := i.leaseFor(ctx, lost)
 		if err == nil {
-			err = i.putTombstone(ctx, shard, id, lease)
+			err = i.putTombstone(ctx, id, shards, lease)
 		}
 		if apcode.Is(err, apcode.LeaseLost) {
 			lost = lease
@@ -108,10 +109,14 @@
 }
 
 // putTombstone succeeds if the job has a tombstone, whoever has stored it.
-func (i *Intake) putTombstone(ctx context.Context, shard apjournal.Shard, id apjob.ID, lease apstore.LeaseID) error {
+func (i *Intake) putTombstone(ctx context.Context, id apjob.ID, shards []apjournal.Shard, lease apstore.LeaseID) error {
 	locationKey := apjournal.LocationKey(id)
+	conditions := []apstore.Condition{{Key: locationKey}}
+	for _, shard := range shards {
+		conditions = append(conditions, apstore.Condition{Key: apjournal.JobKey(shard, id)}, apstore.Condition{Key: apjournal.ProgressKey(shard, id)})
+	}
 	result, err := i.store.Commit(ctx, apstore.Transaction{
-		Conditions: []apstore.Condition{{Key: locationKey}, {Key: apjournal.JobKey(shard, id)}, {Key: apjournal.ProgressKey(shard, id)}},
+		Conditions: conditions,
 		Puts:       []apstore.Put{{Key: locationKey, Data: apfleet.Encode(apjournal.Location{Cancelled: true}), Lease: lease}},
 	})
 	if apcode.Is(err, apcode.StoreConflict) && tombstoneIn(result.Current, locationKey) {
