apintake: a cancel of unknown outcome isn't reported as not done

What callers saw: 503 for a cancel, which says that nothing was done, although an earlier attempt at the same write was carried out then or seconds later, and the job was cancelled. While answers were lost, the entry sent the write again without a delay.

Cancel had a loop of its own, where submissions and tombstones use settle.

The change: the cancel of a stored job is settled like the other writes: it is repeated with the usual delay until its outcome is known, or answered as unknown (504) when the caller's time is over.

--- a/internal/apintake/apintake_test.go
+++ b/internal/apintake/apintake_test.go
@@ -135,6 +135,23 @@
 }
 
 // Settings are not used after they have gone unconfirmed for too long, and never replaced by older ones.
+// Guards against a cancel that is said not to be done, though it is carried out, and against one that is sent again at once.
+func TestCancelOfUnknownOutcomeIsNeverARefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.TransactionalStore{Store: memory.New()}
+		assert.NilError(t, intake(store).Submit(t.Context(), queue, job()))
+		lost, away := apcode.Errorf(apcode.StoreUnknown, "lost"), apcode.Errorf(apcode.StoreUnavailable, "away")
+		flaky := &flakyStore{TransactionalStore: store, errs: []error{lost, away, lost, away}, execute: true}
+		began := time.Now()
+		assert.NilError(t, intake(flaky).Cancel(t.Context(), queue, id))
+		assert.Equal(t, time.Since(began), 4*apintake.DefaultOptions().RetryDelay)
+		assert.Assert(t, exists(t, store, apjournal.CancelKey("pool", id)))
+
+		flaky.errs, flaky.execute = []error{away}, false
+		assert.Equal(t, apcode.Of(intake(flaky).Cancel(t.Context(), queue, id)), apcode.StoreUnavailable, "nothing was done")
+	})
+}
+
 func TestSettingsExpireAndNeverRevert(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		in := intake(memory.TransactionalStore{Store: memory.New()})
--- a/internal/apintake/jobs.go
+++ b/internal/apintake/jobs.go
@@ -116,23 +116,25 @@
 }
 
 func (i *Intake) cancelIn(ctx context.Context, shard apjournal.Shard, id apjob.ID) error {
-	for {
-		value, err := i.store.Read(ctx, apjournal.JobKey(shard, id))
-		if err != nil {
-			return err
-		}
-		if value.Revision == 0 {
-			return i.checkEnded(ctx, shard, id)
-		}
-		_, err = i.store.Commit(ctx, apstore.Transaction{
-			Conditions: []apstore.Condition{{Key: value.Key, Revision: value.Revision}},
-			Puts:       []apstore.Put{{Key: apjournal.CancelKey(shard, id), Data: cancelValue}},
-		})
-		// Retry after a lost answer, or when the job was retired since it was read.
-		if !apcode.Is(err, apcode.StoreUnknown) && !apcode.Is(err, apcode.StoreConflict) || ctx.Err() != nil {
-			return err
+	return i.settle(ctx, func() error {
+		for {
+			value, err := i.store.Read(ctx, apjournal.JobKey(shard, id))
+			if err != nil {
+				return err
+			}
+			if value.Revision == 0 {
+				return i.checkEnded(ctx, shard, id)
+			}
+			_, err = i.store.Commit(ctx, apstore.Transaction{
+				Conditions: []apstore.Condition{{Key: value.Key, Revision: value.Revision}},
+				Puts:       []apstore.Put{{Key: apjournal.CancelKey(shard, id), Data: cancelValue}},
+			})
+			// After a conflict, the job was retired since it was read.
+			if !apcode.Is(err, apcode.StoreConflict) || ctx.Err() != nil {
+				return err
+			}
 		}
-	}
+	})
 }
 
 // checkEnded returns nil for a job that has ended, and NoSuchJob for one that was never stored in the shard.
--- a/internal/apintake/settle.go
+++ b/internal/apintake/settle.go
@@ -14,7 +14,7 @@
 	for {
 		err := write()
 		switch apcode.Of(err) {
-		case apcode.OK, apcode.StoreConflict, apcode.JobCancelled:
+		case apcode.OK, apcode.StoreConflict, apcode.JobCancelled, apcode.NoSuchJob:
 			return err
 		case apcode.LeaseLost:
 		case apcode.StoreUnknown:
