--- a/pkg/apmachine/apmachine.go
+++ b/pkg/apmachine/apmachine.go
@@ -97,7 +97,7 @@
 	// WidestStep is the number of workers needed by the long-running step that needs the most.
 	WidestStep int `cbor:"Widest"`
 	// Unplaced counts the long-running tasks that wait for a worker, including those that have to leave their
-	// present one.
+	// present one, and the steps of other tasks that find no room beside long-running ones.
 	Unplaced int `cbor:"Homeless"`
 	// HasJobs means that the shard has unfinished jobs. Owners older than the field leave it out.
 	HasJobs bool `cbor:"HasJobs,omitempty"`
--- a/pkg/apscheduler/choose_test.go
+++ b/pkg/apscheduler/choose_test.go
@@ -254,3 +254,22 @@
 	assert.Equal(t, len(p.pass(time.Second, jobID)), 0, "four failures quarantine a worker")
 	assert.Equal(t, len(p.pass(time.Second, jobID)), 4)
 }
+
+// The estimate of such a task asks for no machine, and no room comes by itself.
+func TestPoolLoadTellsOfStepsThatLongRunningTasksCrowdOut(t *testing.T) {
+	for name, c := range map[string]struct {
+		lasting, need int64
+		want          int
+	}{
+		"crowded out":            {lasting: 3000, need: 2000, want: 1},
+		"fits on no machine":     {lasting: 3000, need: 5000, want: 0},
+		"room beside long tasks": {lasting: 1000, need: 2000, want: 0},
+	} {
+		p := newPool(2, apscheduler.Queue{MaxAttempts: 4})
+		p.serve(2, c.lasting, 0)
+		p.pass(0, "")
+		p.shard.Submit(job(apjob.Step{Count: 1, Need: apjob.Resources{CPU: c.need}}), 0, p.now)
+		p.pass(time.Second, jobID)
+		assert.Equal(t, p.shard.PoolLoad(p.now).Unplaced, c.want, name)
+	}
+}
--- a/pkg/apscheduler/evacuate.go
+++ b/pkg/apscheduler/evacuate.go
@@ -160,13 +160,14 @@
 	// WidestStep is the largest number of workers that any long-running step needs because of its MaxPerWorker.
 	WidestStep int
 	// Unplaced counts the long-running tasks that wait for a worker with room, including those still running
-	// on a draining or cordoned worker.
+	// on a draining or cordoned worker, and the steps that wait for one without long-running tasks.
 	Unplaced int
 }
 
 // PoolLoad returns the current demand on the shard's pool.
 func (s *Shard) PoolLoad(now time.Time) Load {
 	load := Load{LongRunning: make(map[apjob.WorkerID]int), ReservedCPU: make(map[apjob.WorkerID]int64)}
+	rooms := make([]lastingRoom, 0, len(s.workers))
 	for id, w := range s.workers {
 		if !w.registered {
 			continue
@@ -174,20 +175,25 @@
 		if s.usable(w, now) {
 			load.ReservedCPU[id] = dominantCPU(w.used, w.info.Capacity)
 		}
+		room := w.info.Capacity
 		for run, o := range w.occupants {
 			_, step := s.task(run.Task)
 			if step == nil || !step.LongRunning {
 				continue
 			}
+			room = room.Sub(o.need)
 			load.LongRunning[id]++
 			if o.evacuationWait == waitNoRoom && s.drainingOrCordoned(w) {
 				load.Unplaced++
 			}
 		}
+		if s.inTouch(w, now) {
+			rooms = append(rooms, lastingRoom{worker: w, room: room})
+		}
 	}
 	capacity := s.totalCapacity(now)
 	for _, j := range s.active {
-		s.addJobLoad(j, &load, capacity)
+		s.addJobLoad(j, &load, capacity, rooms)
 	}
 	return load
 }
@@ -216,10 +222,34 @@
 	return cpu
 }
 
+// lastingRoom is the room on a worker beside its long-running tasks, once all others have ended.
+type lastingRoom struct {
+	worker *worker
+	room   apjob.Resources
+}
+
+// isCrowdedOut reports whether a task of a step fits on no worker beside the long-running tasks, but would on an empty one. The
+// room that it waits for doesn't come by itself.
+func isCrowdedOut(step *apjob.Step, rooms []lastingRoom) bool {
+	q := search{step: step, placement: &stepPlacement{}}
+	need, fitsEmpty := step.Reserved(), false
+	for _, r := range rooms {
+		if !r.worker.info.Capacity.Fits(need) || !q.constraintsAllow(r.worker) {
+			continue
+		}
+		if r.room.Fits(need) {
+			return false
+		}
+		fitsEmpty = true
+	}
+	return fitsEmpty
+}
+
 // addJobLoad adds the demand of a job's waiting tasks to load.
-func (s *Shard) addJobLoad(j *job, load *Load, capacity apjob.Resources) {
+func (s *Shard) addJobLoad(j *job, load *Load, capacity apjob.Resources, rooms []lastingRoom) {
 	for i := range j.progress.Occurrences {
-		for n, tasks := range j.progress.Occurrences[i].Steps {
+		occurrence := &j.progress.Occurrences[i]
+		for n, tasks := range occurrence.Steps {
 			step := &j.def.Steps[n]
 			waiting := countWaiting(tasks)
 			if step.LongRunning {
@@ -229,6 +259,9 @@
 				}
 				continue
 			}
+			if waiting > 0 && isCrowdedOut(step, rooms) && occurrence.Ready(j.def, n) {
+				load.Unplaced++
+			}
 			load.QueuedWork += int64(float64(waiting) * s.estimate(j.def, step).Seconds() * float64(dominantCPU(step.Reserved(), capacity)))
 		}
 	}
