apscheduler: a long-running task that ends at once is restarted with delays

Evidence, on the code before: TestLongRunningTaskThatEndsAtOnceIsRestartedWithDelays: each restart comes 10 ms after the one before, as fast as the test lets it end; TestLongRunningGangIsDelayedAsAWhole: 2 starts instead of none.

The change: a task that ended, done or failed, within a second of the time at which it could start waits for 100 ms, and twice as long after each such end, for 2 s at most. The first end, and one after a second of work, has no delay. While a task is delayed, no worker is reserved for it and the pool doesn't count it as one without a place.

Why it works: a step is no candidate while all its waiting tasks are delayed, and a gang while one member is. The longest delay stays well below the 9 s within which callers expect a restart; a new owner starts without delays.

--- a/pkg/apjob/apjob.go
+++ b/pkg/apjob/apjob.go
@@ -278,5 +278,10 @@
 // String returns the ID as JOB.OCCURRENCE.STEP, the form used in messages to advisors.
 func (s StepID) String() string { return fmt.Sprintf("%s.%d.%d", s.Job, s.Occurrence, s.Step) }
 
+// Task returns the ID of one of the step's tasks.
+func (s StepID) Task(index int) TaskID {
+	return TaskID{Job: s.Job, Occurrence: s.Occurrence, Step: s.Step, Index: index}
+}
+
 // StepID returns the ID of the step that the task belongs to.
 func (t TaskID) StepID() StepID { return StepID{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step} }
--- a/pkg/apscheduler/evacuate.go
+++ b/pkg/apscheduler/evacuate.go
@@ -193,7 +193,7 @@
 	}
 	capacity := s.totalCapacity(now)
 	for _, j := range s.active {
-		s.addJobLoad(j, &load, capacity, rooms)
+		s.addJobLoad(j, &load, capacity, rooms, now)
 	}
 	return load
 }
@@ -246,14 +246,14 @@
 }
 
 // addJobLoad adds the demand of a job's waiting tasks to load.
-func (s *Shard) addJobLoad(j *job, load *Load, capacity apjob.Resources, rooms []lastingRoom) {
+func (s *Shard) addJobLoad(j *job, load *Load, capacity apjob.Resources, rooms []lastingRoom, now time.Time) {
 	for i := range j.progress.Occurrences {
 		occurrence := &j.progress.Occurrences[i]
 		for n, tasks := range occurrence.Steps {
 			step := &j.def.Steps[n]
 			waiting := countWaiting(tasks)
 			if step.LongRunning {
-				load.Unplaced += waiting
+				load.Unplaced += waiting - j.countDelayed(occurrence, n, now)
 				if step.MaxPerWorker > 0 {
 					load.WidestStep = max(load.WidestStep, (step.Count+step.MaxPerWorker-1)/step.MaxPerWorker)
 				}
--- a/pkg/apscheduler/job.go
+++ b/pkg/apscheduler/job.go
@@ -43,6 +43,8 @@
 	unstorable bool
 	// failures tells where tasks have failed.
 	failures map[apjob.TaskID]taskFailures
+	// restarts holds the last ends of long-running tasks.
+	restarts map[apjob.TaskID]restart
 	// waits is when each step with waiting tasks was first tried.
 	waits map[apjob.StepID]time.Time
 }
@@ -269,6 +271,9 @@
 		return
 	}
 	j.startConfirmed = true
+	if j.def.Steps[run.Task.Step].LongRunning {
+		s.delayRestart(j, run, workerID, now)
+	}
 }
 
 // markGangDone marks the runs of all tasks of a gang as ended, because the successful end of one counts for all. The tasks
--- a/pkg/apscheduler/lasting_test.go
+++ b/pkg/apscheduler/lasting_test.go
@@ -115,3 +115,73 @@
 	s.Plan(later, later)
 	assert.Equal(t, s.PoolLoad(later).QueuedWork, int64(0))
 }
+
+// Guards against a long-running task that ends at once, done or failed, being restarted in a loop that fills the store's writes.
+func TestLongRunningTaskThatEndsAtOnceIsRestartedWithDelays(t *testing.T) {
+	// After four failures in a row, the worker is quarantined besides.
+	for reason, ends := range map[apworker.EndReason]int{apworker.EndDone: 9, apworker.EndFailed: 3} {
+		s := apscheduler.New(1)
+		run := runLasting(t, s)
+		report := apworker.Report{Clock: time.Second, StartedAt: start}
+		var gaps []time.Duration
+		restartedAt := start
+		now := start
+		for number := 1; number <= ends; number++ {
+			now = now.Add(10 * time.Millisecond)
+			report.Clock += 10 * time.Millisecond
+			report.Ends = []apworker.RunEnd{{Number: uint64(number), Run: run, Reason: reason}}
+			s.ApplyReport("w1", report, now, now)
+			run.Run++
+			for len(startsAfterPlan(s, now)) == 0 {
+				assert.Assert(t, s.PoolLoad(now).Unplaced == 0, "the pool grows for a task that is only delayed")
+				now = now.Add(10 * time.Millisecond)
+				report.Clock += 10 * time.Millisecond
+				s.ApplyReport("w1", report, now, now)
+			}
+			s.OrderAnswered("w1", run, false, nil, now)
+			gaps = append(gaps, now.Sub(restartedAt))
+			restartedAt = now
+		}
+		const ms = time.Millisecond
+		want := []time.Duration{10 * ms, 110 * ms, 210 * ms, 410 * ms, 810 * ms, 1610 * ms, 2010 * ms, 2010 * ms, 2010 * ms}
+		assert.DeepEqual(t, gaps, want[:ends])
+
+		now = now.Add(time.Second)
+		report.Clock += time.Second
+		report.Ends = []apworker.RunEnd{{Number: uint64(ends + 1), Run: run, Reason: apworker.EndDone}}
+		s.ApplyReport("w1", report, now, now)
+		run.Run++
+		// It was up for a second.
+		assert.DeepEqual(t, startsAfterPlan(s, now), []apjob.RunKey{run})
+	}
+}
+
+// Guards against a gang of which some members start while another is delayed, and against workers reserved for one that is.
+func TestLongRunningGangIsDelayedAsAWhole(t *testing.T) {
+	s := apscheduler.New(1)
+	s.Register(workerInfo("w1", 2000), start)
+	s.ApplyReport("w1", apworker.Report{Clock: time.Second, StartedAt: start}, start, start)
+	gang := lastingStep(2)
+	gang.Gang = true
+	s.Submit(job(gang), 0, start)
+	runs := startsAfterPlan(s, start)
+	report := apworker.Report{Clock: time.Second, StartedAt: start}
+	now := start
+	for life := range 2 {
+		now = now.Add(10 * time.Millisecond)
+		report.Clock += 10 * time.Millisecond
+		report.Ends = nil
+		for n, run := range runs {
+			report.Ends = append(report.Ends, apworker.RunEnd{Number: uint64(2*life + n + 1), Run: run, Reason: apworker.EndDone})
+		}
+		s.ApplyReport("w1", report, now, now)
+		if life == 0 {
+			runs = startsAfterPlan(s, now)
+			assert.Equal(t, len(runs), 2)
+		}
+	}
+	assert.Equal(t, len(startsAfterPlan(s, now)), 0, "delayed")
+	other := &apjob.Job{ID: "00000000000000bb", Queue: "q", Steps: []apjob.Step{{Count: 1, Need: apjob.Resources{CPU: 1000}}}, Submitted: now}
+	s.Submit(other, 0, now)
+	assert.Equal(t, len(startsAfterPlan(s, now)), 1, "the worker isn't reserved for the gang")
+}
--- a/pkg/apscheduler/place.go
+++ b/pkg/apscheduler/place.go
@@ -60,10 +60,11 @@
 	var chosen []assignment
 	complete := true
 	for k := range tasks {
-		if tasks[k].Done || tasks[k].Worker != "" {
+		id := q.id.Task(k)
+		if tasks[k].Done || tasks[k].Worker != "" || c.job.restartDelayed(id, now) {
 			continue
 		}
-		q.setPatience(c.job.failures[apjob.TaskID{Job: q.id.Job, Occurrence: q.id.Occurrence, Step: q.id.Step, Index: k}])
+		q.setPatience(c.job.failures[id])
 		w := s.bestWorker(q, eligible, possible, now)
 		if w == nil {
 			complete = false
--- a/pkg/apscheduler/plan.go
+++ b/pkg/apscheduler/plan.go
@@ -194,7 +194,7 @@
 			}
 			criticalPath, work := s.remainingWork(j, occurrence)
 			for n := range occurrence.Steps {
-				if !occurrence.Ready(j.def, n) || s.attemptsUnknown(j, occurrence, n) {
+				if !occurrence.Ready(j.def, n) || s.attemptsUnknown(j, occurrence, n) || j.restartsLater(occurrence, n, now) {
 					continue
 				}
 				laxity := hardDeadline.Sub(now) - criticalPath
