--- a/internal/apintake/location_test.go
+++ b/internal/apintake/location_test.go
@@ -33,7 +33,8 @@
 	return value.Revision != 0
 }
 
-// One entry knows a version of the settings in which the queue belongs to another service.
+// Guards against a second copy of a job, and a job that is said to be unknown, after its queue was sent to another service: one entry
+// knows a version of the settings in which it was.
 func TestJobIsStoredOnceAndFoundWhenItsQueueMoves(t *testing.T) {
 	store := memory.TransactionalStore{Store: memory.New()}
 	first, second := intake(store), intake(store)
--- a/internal/apintake/tombstone_test.go
+++ b/internal/apintake/tombstone_test.go
@@ -34,6 +34,7 @@
 	return apstore.TransactionResult{}, apcode.Errorf(apcode.StoreUnknown, "lost")
 }
 
+// Guards against a job that runs after its cancel was acknowledged, since the write of its submission is carried out after that.
 func TestCancelledJobIsNotStoredByALateWriteOfItsSubmission(t *testing.T) {
 	for _, q := range []apqueue.Queue{queue, movedQueue} {
 		synctest.Test(t, func(t *testing.T) {
--- a/pkg/apscheduler/lasting_test.go
+++ b/pkg/apscheduler/lasting_test.go
@@ -28,6 +28,7 @@
 	return run
 }
 
+// Guards against a long-running task that stays away once a run of it has ended done.
 func TestLongRunningTaskThatEndsDoneIsRestarted(t *testing.T) {
 	s := apscheduler.New(1)
 	run := runLasting(t, s)
--- a/pkg/apscheduler/terms_test.go
+++ b/pkg/apscheduler/terms_test.go
@@ -57,6 +57,7 @@
 	return def
 }
 
+// Guards against a job that fails after one attempt since its queue was removed for a while.
 func TestJobHasTheAttemptsOfItsAcceptance(t *testing.T) {
 	for name, queues := range map[string]map[apjob.Queue]apscheduler.Queue{"removed": {}, "fewer": {"q": {MaxAttempts: 1}}, "more": {"q": {MaxAttempts: 9}}} {
 		p := newFailingPool()
