apmachine: a pool keeps and gets back machines whose label its jobs need

Cause: pools are sized and shrunk by room alone. The pool's report says nothing of labels, and the list of machines was read without them.

The change: the report names the labels that unfinished jobs require, and those of them that no worker in touch has while tasks wait. The last machine of a required label stays in its pool, and a spare machine with a missing one moves to it, unless one is there or on its way.

Nothing changes for pools whose jobs require no label: no field of the report is set, and no move is planned otherwise. Not covered: a label that only machines of other pools have.

--- a/internal/apowner/pool.go
+++ b/internal/apowner/pool.go
@@ -147,7 +147,7 @@
 	load := o.scheduler.PoolLoad(now)
 	report := apmachine.PoolReport{
 		Empty: empty, LongRunning: load.LongRunning, ReservedCPU: load.ReservedCPU, QueuedWork: load.QueuedWork, WidestStep: load.WidestStep, Unplaced: load.Unplaced,
-		HasJobs: o.scheduler.Backlog() > 0,
+		HasJobs: o.scheduler.Backlog() > 0, Labels: load.Labels, MissingLabels: load.MissingLabels,
 	}
 	replaces := o.storedReport == nil && now.Sub(o.reportingSince) >= emptyReportDelay
 	return report, replaces || !report.Equal(stored)
--- a/internal/apsoak/scenario_test.go
+++ b/internal/apsoak/scenario_test.go
@@ -83,11 +83,14 @@
 
 func TestScenarioPoolGrowsForOneTask(t *testing.T) { playScenario(t, 10, "PoolTooSmall") }
 
+// Guards against a job that waits for ever for a label, as the machines that have it have left its pool.
+func TestScenarioPoolGetsBackLabelledMachine(t *testing.T) { playScenario(t, 11, "LabelInSpare") }
+
 // Each scenario has a test above.
 func TestScenariosAreAllTested(t *testing.T) {
 	assert.DeepEqual(t, apsoak.ScenarioNames(), []string{
 		"QueueMoves", "LatePost", "LastingEndsDone", "QueueReturns", "LabelAfterFailure", "BackfillAfterCrash", "AdvisorMoves",
-		"AdvisedWorkersFull", "ManyOccurrences", "RebornAsOtherKind", "PoolTooSmall",
+		"AdvisedWorkersFull", "ManyOccurrences", "RebornAsOtherKind", "LabelInSpare", "PoolTooSmall",
 	})
 	_, err := apsoak.PlayScenario(t.Context(), "NoSuchScenario", apsoak.WithOptions(func(*apsoak.Options) {}), nil)
 	assert.Equal(t, apcode.Of(err), apcode.BadValue)
--- a/internal/apsoak/scenarios.go
+++ b/internal/apsoak/scenarios.go
@@ -27,6 +27,7 @@
 		{name: "AdvisedWorkersFull", prepare: advisedMachines, queues: []apemulator.QueueSpec{find, advised}, play: playAdvisedWorkersFull},
 		{name: "ManyOccurrences", queues: []apemulator.QueueSpec{find, returns}, play: playManyOccurrences},
 		{name: "RebornAsOtherKind", prepare: twoKinds, queues: []apemulator.QueueSpec{find}, play: playRebornAsOtherKind},
+		{name: "LabelInSpare", moves: true, prepare: firstOfSixSpecial, queues: []apemulator.QueueSpec{find}, play: playLabelInSpare},
 		{name: "PoolTooSmall", moves: true, queues: []apemulator.QueueSpec{find}, play: playPoolTooSmall},
 	}
 }
@@ -41,6 +42,11 @@
 	o.Kinds = []string{"general", "general", "general", "general", "general", special}
 }
 
+// firstOfSixSpecial labels the first of each six machines, which leave a pool that shrinks first.
+func firstOfSixSpecial(o *apemulator.Options) {
+	o.Kinds = []string{special, "general", "general", "general", "general", "general"}
+}
+
 func twoKinds(o *apemulator.Options) { o.Kinds = []string{"general", special} }
 
 // playQueueMoves sends a queue to another service while a job of it runs. The job stays known and runs once.
@@ -257,3 +263,17 @@
 	s.submit(ctx, 1, q, s.newJob(q, time.Second, apjob.Step{Count: 1, Need: apjob.Resources{CPU: 4000, Memory: 1024}, Estimate: 100 * time.Millisecond}))
 	return nil
 }
+
+// playLabelInSpare submits a job whose label only machines have that have left the pool. The pool gets one back, and keeps it
+// for a job that needs it later.
+func playLabelInSpare(ctx context.Context, s *scene) error {
+	q := newQueue("find", "search")
+	shrunk := s.poll(ctx, s.options.FinishTimeout, func() bool { return len(s.emulator.Fleet.WorkerAddresses()) <= smallPools })
+	s.log("%d workers are left: %t", len(s.emulator.Fleet.WorkerAddresses()), shrunk)
+	need := apjob.Resources{CPU: 1000, Memory: 256}
+	s.submit(ctx, 0, q, s.newJob(q, time.Second, apjob.Step{Count: 1, Need: need, Label: special}))
+	later := s.newJob(q, 3*time.Second, apjob.Step{Count: 1, Need: need})
+	later.Job.Steps = append(later.Job.Steps, apjob.Step{Count: 1, Need: need, Label: special, After: []int{0}})
+	s.submit(ctx, 1, q, later)
+	return nil
+}
--- a/pkg/apmachine/apmachine.go
+++ b/pkg/apmachine/apmachine.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"auburnport/pkg/apcode"
@@ -36,6 +37,8 @@
 	// Worker is the worker that runs on the machine; empty if there is none. Its id changes with each start.
 	Worker   apjob.WorkerID
 	Capacity apjob.Resources
+	// Labels stay with the machine wherever it moves.
+	Labels []string
 }
 
 // Wave is a request for the upkeep of a set of machines.
@@ -99,6 +102,10 @@
 	// Unplaced counts the long-running tasks that wait for a worker, including those that have to leave their
 	// present one, and the steps of other tasks that find no room beside long-running ones.
 	Unplaced int `cbor:"Homeless"`
+	// Labels are those that unfinished jobs require of workers, sorted. MissingLabels are those of them for which tasks wait and
+	// that no worker of the pool has, sorted.
+	Labels        []string `cbor:"Labels,omitempty"`
+	MissingLabels []string `cbor:"MissingLabels,omitempty"`
 	// HasJobs means that the shard has unfinished jobs. Owners older than the field leave it out.
 	HasJobs bool `cbor:"HasJobs,omitempty"`
 	// ReceivedAt is when the controller received this report; zero if unknown.
@@ -111,7 +118,7 @@
 // Equal reports whether two reports say the same, whenever they were received.
 func (p PoolReport) Equal(q PoolReport) bool {
 	return maps.Equal(p.Empty, q.Empty) && maps.Equal(p.LongRunning, q.LongRunning) && maps.Equal(p.ReservedCPU, q.ReservedCPU) &&
-		p.QueuedWork == q.QueuedWork && p.WidestStep == q.WidestStep && p.Unplaced == q.Unplaced && p.HasJobs == q.HasJobs
+		slices.Equal(p.Labels, q.Labels) && slices.Equal(p.MissingLabels, q.MissingLabels) && p.QueuedWork == q.QueuedWork && p.WidestStep == q.WidestStep && p.Unplaced == q.Unplaced && p.HasJobs == q.HasJobs
 }
 
 // AwaitingUpkeep lists the workers of a pool whose machines will be emptied for the upkeep of a wave.
--- a/pkg/apmachine/balance.go
+++ b/pkg/apmachine/balance.go
@@ -70,15 +70,19 @@
 		return cmp.Or(cmp.Compare(size[a]-t.TargetSizes[a].Machines, size[b]-t.TargetSizes[b].Machines), cmp.Compare(a, b))
 	})
 	var actions []Action
+	for _, pool := range pools {
+		for _, m := range t.takeLabelled(pool, &spare) {
+			actions = append(actions, t.moveFromSpare(m, pool))
+			size[pool]++
+		}
+	}
 	var lacking []apfleet.ServiceName
 	for _, pool := range pools {
 		target := t.TargetSizes[pool].Machines
 		for ; size[pool] < target && len(spare) > 0; size[pool]++ {
 			m := spare[0]
 			spare = spare[1:]
-			actions = append(actions, ExecuteDisruption{Disruption: Disruption{
-				Machine: m.Name, Worker: m.Worker, Pool: t.SparePool, Kind: KindMove, Target: pool,
-			}})
+			actions = append(actions, t.moveFromSpare(m, pool))
 		}
 		for n := size[pool]; n < target; n++ {
 			lacking = append(lacking, pool)
@@ -93,6 +97,11 @@
 	return append(actions, t.releaseMachines(scarce, lacking)...)
 }
 
+// moveFromSpare returns the order to move a spare machine to a pool.
+func (t *Tables) moveFromSpare(m Machine, pool apfleet.ServiceName) Action {
+	return ExecuteDisruption{Disruption: Disruption{Machine: m.Name, Worker: m.Worker, Pool: t.SparePool, Kind: KindMove, Target: pool}}
+}
+
 // maxMoves returns how many moves one plan may open for one pool. Moves from pools that are no longer in force don't count:
 // they take no capacity from any pool, and last for as long as there is no owner to empty the machines.
 func (t *Tables) maxMoves() int {
@@ -294,6 +303,7 @@
 		return cmp.Or(cmp.Compare(p.ReservedCPU[a.Worker], p.ReservedCPU[b.Worker]),
 			apfleet.CompareBool(t.Awaiting[b.Name], t.Awaiting[a.Name]), cmp.Compare(a.Name, b.Name))
 	})
+	movable = t.withoutLastLabelled(pool, movable)
 	var actions []Action
 	for _, m := range movable[:max(0, min(surplus, len(movable)))] {
 		target := t.SparePool
--- a/pkg/apscheduler/choose_test.go
+++ b/pkg/apscheduler/choose_test.go
@@ -273,3 +273,20 @@
 		assert.Equal(t, p.shard.PoolLoad(p.now).Unplaced, c.want, name)
 	}
 }
+
+// Guards against a pool that doesn't know which labels its jobs need.
+func TestPoolLoadTellsOfLabels(t *testing.T) {
+	p := newPool(2, apscheduler.Queue{MaxAttempts: 4})
+	p.pass(0, "")
+	need := apjob.Resources{CPU: 1000}
+	p.shard.Submit(job(
+		apjob.Step{Count: 1, Need: need, Label: "z"}, apjob.Step{Count: 1, Need: need, Label: "a"},
+		apjob.Step{Count: 1, Need: apjob.Resources{CPU: 1_000_000}, Label: "a"}, apjob.Step{Count: 1, Need: need, Label: "later", After: []int{0}}, apjob.Step{Count: 1, Need: need},
+	), 0, p.now)
+	p.shard.Plan(p.now, p.now)
+	load := p.shard.PoolLoad(p.now)
+	assert.DeepEqual(t, load.Labels, []string{"a", "later", "z"})
+	assert.DeepEqual(t, load.MissingLabels, []string{"z"})
+	p.shard.Cancel(jobID, p.now)
+	assert.Equal(t, len(p.shard.PoolLoad(p.now).Labels), 0)
+}
--- a/pkg/apscheduler/evacuate.go
+++ b/pkg/apscheduler/evacuate.go
@@ -162,6 +162,9 @@
 	// Unplaced counts the long-running tasks that wait for a worker with room, including those still running
 	// on a draining or cordoned worker, and the steps that wait for one without long-running tasks.
 	Unplaced int
+	// Labels are those that unfinished jobs require of workers, sorted. MissingLabels are those of them for which tasks wait and
+	// that no worker in touch has, sorted.
+	Labels, MissingLabels []string
 }
 
 // PoolLoad returns the current demand on the shard's pool.
@@ -195,9 +198,15 @@
 	for _, j := range s.active {
 		s.addJobLoad(j, &load, capacity, rooms, now)
 	}
+	load.Labels, load.MissingLabels = sortedUnique(load.Labels), sortedUnique(load.MissingLabels)
 	return load
 }
 
+func sortedUnique(labels []string) []string {
+	slices.Sort(labels)
+	return slices.Compact(labels)
+}
+
 // totalCapacity returns the summed capacity of all usable workers.
 func (s *Shard) totalCapacity(now time.Time) apjob.Resources {
 	var sum apjob.Resources
@@ -228,16 +237,26 @@
 	room   apjob.Resources
 }
 
+// fitsEmpty reports whether a task of a step could run on the worker if that were empty.
+func (r lastingRoom) fitsEmpty(step *apjob.Step) bool {
+	q := search{step: step, placement: &stepPlacement{}}
+	return r.worker.info.Capacity.Fits(step.Reserved()) && q.constraintsAllow(r.worker)
+}
+
+// anyHasLabel reports whether a worker has a label.
+func anyHasLabel(rooms []lastingRoom, label string) bool {
+	return slices.ContainsFunc(rooms, func(r lastingRoom) bool { return slices.Contains(r.worker.info.Labels, label) })
+}
+
 // isCrowdedOut reports whether a task of a step fits on no worker beside the long-running tasks, but would on an empty one. The
 // room that it waits for doesn't come by itself.
 func isCrowdedOut(step *apjob.Step, rooms []lastingRoom) bool {
-	q := search{step: step, placement: &stepPlacement{}}
-	need, fitsEmpty := step.Reserved(), false
+	fitsEmpty := false
 	for _, r := range rooms {
-		if !r.worker.info.Capacity.Fits(need) || !q.constraintsAllow(r.worker) {
+		if !r.fitsEmpty(step) {
 			continue
 		}
-		if r.room.Fits(need) {
+		if r.room.Fits(step.Reserved()) {
 			return false
 		}
 		fitsEmpty = true
@@ -252,6 +271,12 @@
 		for n, tasks := range occurrence.Steps {
 			step := &j.def.Steps[n]
 			waiting := countWaiting(tasks)
+			if step.Label != "" && !occurrence.StepDone(n) {
+				load.Labels = append(load.Labels, step.Label)
+				if waiting > 0 && occurrence.Ready(j.def, n) && !anyHasLabel(rooms, step.Label) {
+					load.MissingLabels = append(load.MissingLabels, step.Label)
+				}
+			}
 			if step.LongRunning {
 				load.Unplaced += waiting - j.countDelayed(occurrence, n, now)
 				if step.MaxPerWorker > 0 {
