--- a/pkg/apscheduler/report.go
+++ b/pkg/apscheduler/report.go
@@ -186,17 +186,7 @@
 	case stop:
 		o.applyStopAnswer(code, now)
 	case code == apcode.OK:
-		o.answeredAt = now
-		if !o.outcomeUnknown && o.startsUnderWay == 0 {
-			o.unconfirmedStartAt = time.Time{}
-		}
-		if o.phase == phaseOrdered {
-			w.setPhase(o, phaseRunning)
-			o.startedAt = now
-		}
-		if j := s.jobs[run.Task.Job]; j != nil {
-			j.startConfirmed = true
-		}
+		s.startConfirmed(w, run, o, now)
 	case code == apcode.StaleRun:
 		o.answeredAt = now
 		w.setPhase(o, phaseStopping)
@@ -211,6 +201,21 @@
 	}
 }
 
+// startConfirmed applies the answer to a start that was carried out.
+func (s *Shard) startConfirmed(w *worker, run apjob.RunKey, o *occupant, now time.Time) {
+	o.answeredAt = now
+	if !o.outcomeUnknown && o.startsUnderWay == 0 {
+		o.unconfirmedStartAt = time.Time{}
+	}
+	if o.phase == phaseOrdered {
+		w.setPhase(o, phaseRunning)
+		o.startedAt = now
+	}
+	if j := s.jobs[run.Task.Job]; j != nil {
+		j.startConfirmed = true
+	}
+}
+
 // applyStopAnswer applies the answer to a stop. It doesn't count if no stop was sent to the worker's present process. A
 // refused stop says nothing about a start.
 func (o *occupant) applyStopAnswer(code apcode.Code, now time.Time) {
