apintake: a cancel under an unknown path that is sent again costs no write

A caller that cancels again, under the path of a queue that doesn't exist, took one of the entry's 64 tombstones each time, though the first was still there.

--- a/internal/apintake/location.go
+++ b/internal/apintake/location.go
@@ -73,7 +73,9 @@
 			}
 			return i.Cancel(ctx, queue, id)
 		}
-		err = i.forbid(ctx, id)
+		if err = errCancelled(id); !location.Cancelled {
+			err = i.forbid(ctx, id)
+		}
 		if apcode.Is(err, apcode.StoreConflict) {
 			// The job was stored in the meantime.
 			continue
--- a/pkg/apmachine/apmachine.go
+++ b/pkg/apmachine/apmachine.go
@@ -118,7 +118,8 @@
 // Equal reports whether two reports say the same, whenever they were received.
 func (p PoolReport) Equal(q PoolReport) bool {
 	return maps.Equal(p.Empty, q.Empty) && maps.Equal(p.LongRunning, q.LongRunning) && maps.Equal(p.ReservedCPU, q.ReservedCPU) &&
-		slices.Equal(p.Labels, q.Labels) && slices.Equal(p.MissingLabels, q.MissingLabels) && p.QueuedWork == q.QueuedWork && p.WidestStep == q.WidestStep && p.Unplaced == q.Unplaced && p.HasJobs == q.HasJobs
+		slices.Equal(p.Labels, q.Labels) && slices.Equal(p.MissingLabels, q.MissingLabels) &&
+		p.QueuedWork == q.QueuedWork && p.WidestStep == q.WidestStep && p.Unplaced == q.Unplaced && p.HasJobs == q.HasJobs
 }
 
 // AwaitingUpkeep lists the workers of a pool whose machines will be emptied for the upkeep of a wave.
