apscheduler: a gang's restarts are delayed whichever member reports first

A long-running gang that ends done at once was restarted without a delay whenever another member than the time before reported its end first. If several members failed in one life, the delay doubled for each.

Cause: the end was noted for the member that reported first alone, as the first done end stands for all.

Evidence: TestLongRunningGangIsDelayedAsAWhole failed once in `go test ./...` on a fresh clone ("2 != 0: delayed"): the order of the members' starts, and so of their ends in the test, is that of a map.

--- a/pkg/apscheduler/lasting_test.go
+++ b/pkg/apscheduler/lasting_test.go
@@ -157,32 +157,44 @@
 	}
 }
 
-// Guards against a gang of which some members start while another is delayed, and against workers reserved for one that is.
+// Guards against a gang of which some members start while another is delayed, and against workers reserved for one that is. Another member
+// reports its end first each time, and the end of each counts once.
 func TestLongRunningGangIsDelayedAsAWhole(t *testing.T) {
-	s := apscheduler.New(1)
-	s.Register(workerInfo("w1", 2000), start)
-	s.ApplyReport("w1", apworker.Report{Clock: time.Second, StartedAt: start}, start, start)
-	gang := lastingStep(2)
-	gang.Gang = true
-	s.Submit(job(gang), 0, start)
-	runs := startsAfterPlan(s, start)
-	report := apworker.Report{Clock: time.Second, StartedAt: start}
-	now := start
-	for life := range 2 {
-		now = now.Add(10 * time.Millisecond)
-		report.Clock += 10 * time.Millisecond
-		report.Ends = nil
-		for n, run := range runs {
-			report.Ends = append(report.Ends, apworker.RunEnd{Number: uint64(2*life + n + 1), Run: run, Reason: apworker.EndDone})
+	for _, reason := range []apworker.EndReason{apworker.EndDone, apworker.EndFailed} {
+		s := apscheduler.New(1)
+		s.Register(workerInfo("w1", 2000), start)
+		report := apworker.Report{Clock: time.Second, StartedAt: start}
+		s.ApplyReport("w1", report, start, start)
+		gang := lastingStep(2)
+		gang.Gang = true
+		s.Submit(job(gang), 0, start)
+		assert.Equal(t, len(startsAfterPlan(s, start)), 2)
+		now, number := start, uint64(0)
+		end := func(run int, members ...int) {
+			now = now.Add(10 * time.Millisecond)
+			report.Clock += 10 * time.Millisecond
+			report.Ends = nil
+			for _, member := range members {
+				number++
+				report.Ends = append(report.Ends, apworker.RunEnd{Number: number, Run: apjob.RunKey{Task: taskID(0, member), Run: run}, Reason: reason})
+			}
+			s.ApplyReport("w1", report, now, now)
 		}
-		s.ApplyReport("w1", report, now, now)
-		if life == 0 {
-			runs = startsAfterPlan(s, now)
-			assert.Equal(t, len(runs), 2)
+		end(1, 0, 1)
+		assert.Equal(t, len(startsAfterPlan(s, now)), 2, "the first end has no delay")
+		end(2, 1, 0)
+		assert.Equal(t, len(startsAfterPlan(s, now)), 0, "delayed")
+		if reason == apworker.EndFailed {
+			// The worker is quarantined after four failures.
+			continue
 		}
+		now = now.Add(100 * time.Millisecond)
+		report.Clock += 100 * time.Millisecond
+		s.ApplyReport("w1", report, now, now)
+		assert.Equal(t, len(startsAfterPlan(s, now)), 2)
+		end(3, 0, 1)
+		other := &apjob.Job{ID: "00000000000000bb", Queue: "q", Steps: []apjob.Step{{Count: 1, Need: apjob.Resources{CPU: 1000}}}, Submitted: now}
+		s.Submit(other, 0, now)
+		assert.DeepEqual(t, startsAfterPlan(s, now), []apjob.RunKey{{Task: apjob.TaskID{Job: other.ID}, Run: 1}})
 	}
-	assert.Equal(t, len(startsAfterPlan(s, now)), 0, "delayed")
-	other := &apjob.Job{ID: "00000000000000bb", Queue: "q", Steps: []apjob.Step{{Count: 1, Need: apjob.Resources{CPU: 1000}}}, Submitted: now}
-	s.Submit(other, 0, now)
-	assert.Equal(t, len(startsAfterPlan(s, now)), 1, "the worker isn't reserved for the gang")
 }
