apscheduler: the delay of a restart counts as waiting for a withheld worker

What callers saw: a service whose task ends soon after each start, and for which only quarantined workers are left, is away for up to 3.5 s: first for the delay of its restart (2 s at most), then for the time in which a quarantined worker is withheld from it (1.5 s).

Cause: a step counts as waiting from the first Plan that tries it, and Plan leaves out a step while all its waiting tasks are delayed. Where one task was delayed and others were placed, the wait began anew with each of these.

The change: the wait of a step begins with the earliest end of its waiting tasks that delays a restart. Only steps with restarts are looked at for it.

--- a/pkg/apscheduler/choose.go
+++ b/pkg/apscheduler/choose.go
@@ -161,14 +161,24 @@
 	return workers
 }
 
-// waitsSince returns when a step with waiting tasks was first tried.
-func (j *job) waitsSince(id apjob.StepID, now time.Time) time.Time {
+// waitsSince returns when a step with waiting tasks was first tried, or one of these ended before that: the delay of its restart
+// counts as waiting.
+func (j *job) waitsSince(id apjob.StepID, tasks []apjob.Task, now time.Time) time.Time {
 	if since, known := j.waits[id]; known {
 		return since
 	}
 	if j.waits == nil {
 		j.waits = make(map[apjob.StepID]time.Time)
 	}
-	j.waits[id] = now
-	return now
+	since := now
+	if len(j.restarts) > 0 {
+		for k := range tasks {
+			last, ended := j.restarts[j.restartKey(id.Task(k))]
+			if ended && tasks[k].Worker == "" && last.endedAt.Before(since) {
+				since = last.endedAt
+			}
+		}
+	}
+	j.waits[id] = since
+	return since
 }
--- a/pkg/apscheduler/lasting_test.go
+++ b/pkg/apscheduler/lasting_test.go
@@ -198,3 +198,19 @@
 		assert.DeepEqual(t, startsAfterPlan(s, now), []apjob.RunKey{{Task: apjob.TaskID{Job: other.ID}, Run: 1}})
 	}
 }
+
+// Guards against a service that stays away for the delay of its restart and then for the time in which a quarantined worker is withheld.
+func TestRestartDelayCountsAsWaitingForQuarantinedWorker(t *testing.T) {
+	p := newPool(1, apscheduler.Queue{MaxAttempts: 9})
+	p.serve(1, 500, 0)
+	for range 8 {
+		for n := 0; n < 40 && len(p.pass(0, lastingID)) == 0; n++ {
+		}
+		p.end(lastingID, apworker.EndDone)
+	}
+	assert.Equal(t, len(p.pass(0, lastingID)), 0, "the restart is delayed")
+	p.shard.Submit(job(apjob.Step{Count: 4, Need: apjob.Resources{CPU: 500}}), 0, p.now)
+	assert.Equal(t, len(p.pass(0, jobID)), 4)
+	p.end(jobID, apworker.EndFailed)
+	assert.Equal(t, len(p.pass(2*time.Second, lastingID)), 1)
+}
--- a/pkg/apscheduler/place.go
+++ b/pkg/apscheduler/place.go
@@ -18,7 +18,7 @@
 		return false
 	}
 	tasks := j.occurrence(c.occurrence).Steps[c.step]
-	q := &search{id: c.id(), step: step, placement: s.placementOf(j, c.occurrence, c.step, tasks), waitsSince: j.waitsSince(c.id(), now)}
+	q := &search{id: c.id(), step: step, placement: s.placementOf(j, c.occurrence, c.step, tasks), waitsSince: j.waitsSince(c.id(), tasks, now)}
 	q.failedOn = s.failuresOf(c, tasks)
 	possible := s.possibleWorkers(q, pool, now)
 	chosen, complete := s.chooseWorkers(c, q, tasks, possible, now)
