apscheduler: a task doesn't wait for a quarantine or a reservation to end while the pool is idle

What callers saw: a job whose label two workers of twelve have waited for as long as a quarantine, 4.9 s, though one of the two was idle, in touch and had room for it sixteen times. The other was full with a task of 25 s. The tasks whose failures had quarantined the idle one waited as long. On the same way a job may wait for as long as a reservation (10 s), and a service too, however full the pool.

Cause: workers that are quarantined or reserved are withheld from a step while others could run it "once their shorter tasks have ended" (fitLater).

The change: after 2 s, a withheld worker is offered to a step that no open worker can run now, if it is long-running or the pool isn't contended: under half of each resource that the task needs is in use on the workers in touch.

The property's excuse now holds only in a contended pool and for tasks that end; one job in ten lasts as long as the drawn world.

--- a/internal/apsoak/scenario_test.go
+++ b/internal/apsoak/scenario_test.go
@@ -86,11 +86,16 @@
 // Guards against a job that waits for ever for a label, as the machines that have it have left its pool.
 func TestScenarioPoolGetsBackLabelledMachine(t *testing.T) { playScenario(t, 11, "LabelInSpare") }
 
+// Guards against a job that waits for the end of a quarantine though the quarantined worker is idle and the pool nearly so.
+func TestScenarioQuarantinedWorkerBesideLongTask(t *testing.T) {
+	playScenario(t, 12, "QuarantineBesideLongTask")
+}
+
 // Each scenario has a test above.
 func TestScenariosAreAllTested(t *testing.T) {
 	assert.DeepEqual(t, apsoak.ScenarioNames(), []string{
 		"QueueMoves", "LatePost", "LastingEndsDone", "QueueReturns", "LabelAfterFailure", "BackfillAfterCrash", "AdvisorMoves",
-		"AdvisedWorkersFull", "ManyOccurrences", "RebornAsOtherKind", "LabelInSpare", "PoolTooSmall",
+		"AdvisedWorkersFull", "ManyOccurrences", "RebornAsOtherKind", "LabelInSpare", "QuarantineBesideLongTask", "PoolTooSmall",
 	})
 	_, err := apsoak.PlayScenario(t.Context(), "NoSuchScenario", apsoak.WithOptions(func(*apsoak.Options) {}), nil)
 	assert.Equal(t, apcode.Of(err), apcode.BadValue)
--- a/internal/apsoak/scenarios.go
+++ b/internal/apsoak/scenarios.go
@@ -28,6 +28,7 @@
 		{name: "ManyOccurrences", queues: []apemulator.QueueSpec{find, returns}, play: playManyOccurrences},
 		{name: "RebornAsOtherKind", prepare: twoKinds, queues: []apemulator.QueueSpec{find}, play: playRebornAsOtherKind},
 		{name: "LabelInSpare", moves: true, prepare: firstOfSixSpecial, queues: []apemulator.QueueSpec{find}, play: playLabelInSpare},
+		{name: "QuarantineBesideLongTask", prepare: twoOfSixSpecial, queues: []apemulator.QueueSpec{find}, play: playQuarantineBesideLongTask},
 		{name: "PoolTooSmall", moves: true, queues: []apemulator.QueueSpec{find}, play: playPoolTooSmall},
 	}
 }
@@ -47,6 +48,11 @@
 	o.Kinds = []string{special, "general", "general", "general", "general", "general"}
 }
 
+// twoOfSixSpecial labels two of the six machines of each pool.
+func twoOfSixSpecial(o *apemulator.Options) {
+	o.Kinds = []string{"general", "general", "general", "general", special, special}
+}
+
 func twoKinds(o *apemulator.Options) { o.Kinds = []string{"general", special} }
 
 // playQueueMoves sends a queue to another service while a job of it runs. The job stays known and runs once.
@@ -277,3 +283,27 @@
 	s.submit(ctx, 1, q, later)
 	return nil
 }
+
+// placeTime is how long a task may wait while there is room for it.
+const placeTime = 3 * time.Second
+
+// playQuarantineBesideLongTask fills one of two machines with a label for longer than a quarantine lasts, and quarantines the other by
+// tasks that fail once. A task with the label doesn't wait for the end of that, nor do those that failed.
+func playQuarantineBesideLongTask(ctx context.Context, s *scene) error {
+	q := newQueue("find", "search")
+	s.submit(ctx, 0, q, s.newJob(q, 9*time.Second, apjob.Step{Count: 1, Need: apjob.Resources{CPU: 7800, Memory: 256}, Estimate: 9 * time.Second, Label: special}))
+	s.awaitStarts(ctx, 1)
+	small := apjob.Step{Count: 6, Need: apjob.Resources{CPU: 500, Memory: 256}, Label: special}
+	failing := s.newJob(q, 500*time.Millisecond, small)
+	failing.FailFirst = 1
+	s.submit(ctx, 1, q, failing)
+	s.awaitStarts(ctx, 7)
+	pause(ctx, 700*time.Millisecond)
+	small.Count = 1
+	later := s.newJob(q, 500*time.Millisecond, small)
+	s.submit(ctx, 2, q, later)
+	if !s.poll(ctx, placeTime, func() bool { return s.emulator.Record.Counts().Starts >= 14 }) {
+		s.emulator.Record.AddJobViolation(apemulator.InvariantCompletion, later.Job.ID, "only %d of 14 runs were started after %s beside an idle worker", s.emulator.Record.Counts().Starts, placeTime)
+	}
+	return nil
+}
--- a/pkg/apscheduler/choose.go
+++ b/pkg/apscheduler/choose.go
@@ -11,7 +11,8 @@
 // cordoned, not denied by the advisor, and that has the label, room, and fewer tasks of the step than MaxPerWorker. Only
 // this excludes a worker (possibleWorkers and couldRun). All else ranks the workers that could run the task, and at most delays it:
 // a task waits up to patience for a worker that suits it better, and up to withholdTime for one that is quarantined or
-// reserved for another task if it could run on no other.
+// reserved for another task if it could run on no other. If it could run on others once these have room, it waits up to
+// maxWithholdTime, or in a contended pool until that worker is open again.
 
 // patience is how long a task may wait for a worker that suits it better than those that have room. It is long enough for other
 // tasks to end, and a third of the time in which callers expect a task to be placed.
--- a/pkg/apscheduler/draw_test.go
+++ b/pkg/apscheduler/draw_test.go
@@ -68,6 +68,9 @@
 		denied: make(map[apjob.WorkerID]bool), onTask: make(map[apjob.TaskID]apjob.WorkerID),
 		done: make(map[apjob.TaskID]bool), waiting: make(map[apjob.TaskID]time.Time), waitingFree: make(map[apjob.TaskID]time.Time),
 	}
+	if w.chance(0.1) {
+		j.lastFor = worldLength
+	}
 	if w.chance(0.3) {
 		j.def.Queue = advised
 		for _, d := range w.workers {
--- a/pkg/apscheduler/place_property_test.go
+++ b/pkg/apscheduler/place_property_test.go
@@ -12,8 +12,8 @@
 const (
 	// placeBound is the longest time that a task may wait while a worker could run it.
 	placeBound = 3 * time.Second
-	// withheldBound is that bound where each such worker is quarantined or may be reserved for another task, and the task
-	// could run on a further worker once that has room.
+	// withheldBound is that bound in a contended pool where each such worker is quarantined or may be reserved for another task,
+	// and the task, which doesn't last, could run on a further worker once that has room.
 	withheldBound = 14 * time.Second
 	placeSeeds    = 200
 )
@@ -103,12 +103,29 @@
 			later += w.countTasks(j, id, d, w.freeRoom(d, true))
 		}
 	}
-	if nowNotWithheld >= tasks || later < tasks {
+	step := &j.def.Steps[id.Step]
+	if nowNotWithheld >= tasks || later < tasks || step.LongRunning || !w.isContended(step.Reserved()) {
 		return placeBound
 	}
 	return withheldBound
 }
 
+// isContended reports whether half of a resource that a task needs, or more, is in use on the workers in touch.
+func (w *world) isContended(need apjob.Resources) bool {
+	var free, capacity apjob.Resources
+	for _, d := range w.workers {
+		if w.inTouch(d) {
+			free, capacity = free.Add(w.freeRoom(d, false)), capacity.Add(d.info.Capacity)
+		}
+	}
+	return 2*free.CPU <= capacity.CPU || need.Memory > 0 && 2*free.Memory <= capacity.Memory || need.GPU > 0 && 2*free.GPU <= capacity.GPU
+}
+
+// inTouch reports whether a worker is registered, reports and is neither draining nor cordoned.
+func (w *world) inTouch(d *drawnWorker) bool {
+	return !w.isSilent(d) && w.now.After(d.registeredAt) && !d.info.Draining && !w.isCordoned(d.info.ID)
+}
+
 // isWaiting reports whether a task's turn has come and no run of it, or of its gang, is anywhere.
 func (w *world) isWaiting(j *drawnJob, id apjob.TaskID) bool {
 	if !j.submitted {
@@ -169,8 +186,7 @@
 // countTasks counts the tasks of a step that a worker could run in an amount of room.
 func (w *world) countTasks(j *drawnJob, id apjob.TaskID, d *drawnWorker, room apjob.Resources) int {
 	step := &j.def.Steps[id.Step]
-	inTouch := !w.isSilent(d) && w.now.After(d.registeredAt) && !d.info.Draining && !w.isCordoned(d.info.ID)
-	if !inTouch || j.denied[d.info.ID] || step.Label != "" && step.Label != d.info.Labels[0] {
+	if !w.inTouch(d) || j.denied[d.info.ID] || step.Label != "" && step.Label != d.info.Labels[0] {
 		return 0
 	}
 	n := 0
--- a/pkg/apscheduler/reserve.go
+++ b/pkg/apscheduler/reserve.go
@@ -12,6 +12,9 @@
 	// withholdTime is how long the workers that are quarantined, or reserved for a step, are withheld from a waiting step that
 	// could run on no other.
 	withholdTime = 1500 * time.Millisecond
+	// maxWithholdTime is how long they are withheld from a step that could run on others once these have room, unless the pool is
+	// contended. It is below the time in which callers expect a task to be placed.
+	maxWithholdTime = 2 * time.Second
 	// reserveTime is how long workers are reserved for a step that can't be placed. Then there is a pause of reservePause.
 	reserveTime  = 10 * time.Second
 	reservePause = 500 * time.Millisecond
@@ -21,9 +24,11 @@
 type workerPool struct {
 	// open workers may get any task.
 	open []*worker
-	// withheld workers are quarantined or reserved. They get only tasks that have waited longer than withholdTime and could run
-	// on no open worker.
+	// withheld workers are quarantined or reserved. They get only tasks that have waited longer than withholdTime or
+	// maxWithholdTime and could run on no open worker now.
 	withheld []*worker
+	// used and capacity are summed over all workers in touch at the start of the Plan.
+	used, capacity apjob.Resources
 	// reservedSince is when the steps that had reservations in the last Plan got them.
 	reservedSince map[apjob.StepID]time.Time
 	// unplaceable and unplaceableWithheld refer to the workers that were open and withheld at the start of the Plan.
@@ -40,7 +45,11 @@
 	pool := &workerPool{open: make([]*worker, 0, len(all)), reservedSince: s.reservedSince}
 	s.reservedSince = make(map[apjob.StepID]time.Time)
 	for _, w := range all {
-		if !s.inTouch(w, now) || w.unknownRuns > 0 || now.Before(w.retryAt) {
+		if !s.inTouch(w, now) {
+			continue
+		}
+		pool.used, pool.capacity = pool.used.Add(w.used), pool.capacity.Add(w.info.Capacity)
+		if w.unknownRuns > 0 || now.Before(w.retryAt) {
 			continue
 		}
 		if w.health.quarantined(now) {
@@ -63,7 +72,7 @@
 	if !pool.unplaceableWithheld.fitsAny(need) {
 		return false
 	}
-	if step.LongRunning || step.Gang || step.Label != "" || step.MaxPerWorker > 0 || s.needsTicket(j) {
+	if step.LongRunning || step.Gang || step.Label != "" || step.MaxPerWorker > 0 || s.needsTicket(j) || !pool.contended(need) {
 		return true
 	}
 	if slices.ContainsFunc(pool.placeableLater, func(larger apjob.Resources) bool { return larger.Fits(need) }) {
@@ -79,9 +88,17 @@
 // empty reports whether the pool has no workers.
 func (p *workerPool) empty() bool { return len(p.open)+len(p.withheld) == 0 }
 
+// contended reports whether half of a resource that a task needs, or more, is in use. Room comes soon then, as many tasks end.
+func (p *workerPool) contended(need apjob.Resources) bool {
+	return need.CPU > 0 && 2*p.used.CPU >= p.capacity.CPU ||
+		need.Memory > 0 && 2*p.used.Memory >= p.capacity.Memory ||
+		need.GPU > 0 && 2*p.used.GPU >= p.capacity.GPU
+}
+
 // possibleWorkers returns the workers from which those for a step are chosen: the open ones, and if these can't run its
-// next tasks even once their shorter tasks have ended, after a while also the withheld ones. A long-running step gets these after
-// reserveTime in any case, as the shorter tasks may take long. Workers that the advisor has denied the step are left out.
+// next tasks now, after a while also the withheld ones. A short step in a contended pool gets these only if the open workers
+// can't run it even once their shorter tasks have ended. Elsewhere these may take longer than callers wait. Workers that the advisor
+// has denied the step are left out.
 func (s *Shard) possibleWorkers(q *search, pool *workerPool, now time.Time) []*worker {
 	open := s.withoutDenied(q.id, pool.open)
 	missing := 1
@@ -92,12 +109,23 @@
 	if len(pool.withheld) == 0 || waited < withholdTime {
 		return open
 	}
-	if s.fitLater(q, open, missing) && (!q.step.LongRunning || waited < reserveTime) {
-		return open
+	if s.fitLater(q, open, missing) {
+		mayWait := waited < maxWithholdTime || !q.step.LongRunning && pool.contended(q.step.Reserved())
+		if mayWait || fitNow(q, open, missing) {
+			return open
+		}
 	}
 	return slices.Concat(open, s.withoutDenied(q.id, pool.withheld))
 }
 
+// fitNow reports whether workers could run a number of tasks of the step now.
+func fitNow(q *search, workers []*worker, missing int) bool {
+	for i := 0; i < len(workers) && missing > 0; i++ {
+		missing -= q.countIn(workers[i].info.Capacity.Sub(workers[i].used), workers[i])
+	}
+	return missing <= 0
+}
+
 // fitLater reports whether workers could run a number of tasks of the step once all but their long-running tasks have ended.
 func (s *Shard) fitLater(q *search, workers []*worker, missing int) bool {
 	for i := 0; i < len(workers) && missing > 0; i++ {
