apowner: steps plan only when a write may start

The step after a write, which sends the starts, planned anew at once, and so did those in between; what they planned was stored with the next write at the earliest, which plans again before it.

The change: a step leaves Plan out while a write is under way, as before, or the last one ended less than 8 ms ago; then it wakes when the next may start, whether something is to be stored or not. TestTasksStartSoonAfterAnotherWrite guards the wake: without it "job 1 starts after 104ms".

--- a/internal/apowner/apowner.go
+++ b/internal/apowner/apowner.go
@@ -290,7 +290,8 @@
 }
 
 func (o *Owner) runStep(ctx context.Context, now time.Time) {
-	if !o.stopping && !o.writing {
+	if !o.stopping && o.mayWrite(now) {
+		// What is planned while no write may start is only stored later, by which time more is known.
 		o.scheduler.Plan(now, time.Now())
 	}
 	o.startWrite(ctx, now)
--- a/internal/apowner/idle_test.go
+++ b/internal/apowner/idle_test.go
@@ -38,3 +38,32 @@
 		assert.NilError(t, group.Wait())
 	})
 }
+
+// Guards against a job that waits for the owner's next tick because it came while no write could start.
+func TestTasksStartSoonAfterAnotherWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.TransactionalStore{Store: memory.New()}
+		pool := newFakePool(t, 1, 20)
+		pool.register(t, store)
+		group := &errgroup.Group{}
+		ctx, cancel := context.WithCancel(t.Context())
+		delay := &atomic.Int64{}
+		delay.Store(int64(4 * time.Millisecond))
+		group.Go(func() error {
+			return runOwner(ctx, t, slowStore{TransactionalStore: store, delay: delay}, pool, "owner")
+		})
+		time.Sleep(5 * time.Second)
+		starts := 0
+		for n := range 20 {
+			submitted := time.Now()
+			submit(t, store, n+1)
+			for starts += 3; pool.startCount() < starts; {
+				time.Sleep(500 * time.Microsecond)
+			}
+			assert.Assert(t, time.Since(submitted) < 30*time.Millisecond, "job %d starts after %v", n, time.Since(submitted))
+			time.Sleep(time.Duration(n) * 500 * time.Microsecond)
+		}
+		cancel()
+		assert.NilError(t, group.Wait())
+	})
+}
--- a/internal/apowner/store.go
+++ b/internal/apowner/store.go
@@ -14,7 +14,7 @@
 // startWrite starts the next write unless one is in progress, the last one was too recent or nothing has
 // changed.
 func (o *Owner) startWrite(ctx context.Context, now time.Time) {
-	if o.writing || now.Sub(o.lastWriteAt) < minWriteInterval && !o.stopping {
+	if !o.mayWrite(now) {
 		o.scheduleWake(ctx, now)
 		return
 	}
@@ -67,6 +67,11 @@
 	})
 }
 
+// mayWrite reports whether a write may start now.
+func (o *Owner) mayWrite(now time.Time) bool {
+	return !o.writing && (now.Sub(o.lastWriteAt) >= minWriteInterval || o.stopping)
+}
+
 // waitingCounts returns the counts of waiting jobs, and whether they must be stored: they are due, and differ from those stored
 // last by this owner. The first ones replace those of an earlier owner.
 func (o *Owner) waitingCounts(now time.Time) (apjournal.WaitingCounts, bool) {
@@ -95,7 +100,7 @@
 
 // scheduleWake wakes the loop when the next write may start.
 func (o *Owner) scheduleWake(ctx context.Context, now time.Time) {
-	if o.writing || o.wakeScheduled || !o.scheduler.HasBatch() {
+	if o.writing || o.wakeScheduled {
 		return
 	}
 	o.wakeScheduled = true
