apowner: goroutines that send orders are used again

Cause: each order was sent by a goroutine of its own.

The change: a goroutine that has sent an order takes further ones, as long as each comes within a second. There are at most as many as orders under way, 256. An order is handed over only to one that waits for it, so none is lost or waits; a panic ends the owner as before.

--- a/internal/apowner/apowner.go
+++ b/internal/apowner/apowner.go
@@ -79,6 +79,8 @@
 	endedPollDelayPerWorker = 500 * time.Microsecond
 	// maxInFlightOrders bounds the orders that wait for an answer.
 	maxInFlightOrders = 256
+	// senderIdleTime is how long a goroutine that has sent an order waits for another one.
+	senderIdleTime = time.Second
 	// waitingCountsInterval is how often the counts of waiting jobs are refreshed in the store.
 	waitingCountsInterval = time.Second
 	// poolReportInterval is how often the pool's report is refreshed in the store.
@@ -108,6 +110,8 @@
 	// maxInFlightOrders.
 	inFlightOrders int
 	ordersAtLimit  bool
+	// nextOrder hands an order to a goroutine that waits for one. It has no buffer.
+	nextOrder chan apscheduler.Order
 	// polled holds the workers that have a polling goroutine, and the function that gives up the poll under way.
 	polled map[apjob.WorkerID]context.CancelFunc
 	// pollDue is true when there may be workers without a polling goroutine.
@@ -164,6 +168,7 @@
 		config:    config,
 		scheduler: apscheduler.New(config.Journal.Fence(), options...),
 		events:    make(chan func(time.Time), eventQueueSize),
+		nextOrder: make(chan apscheduler.Order),
 		polled:    make(map[apjob.WorkerID]context.CancelFunc),
 		owned:     owned,
 
--- a/internal/apowner/workers.go
+++ b/internal/apowner/workers.go
@@ -233,16 +233,14 @@
 	orders := o.scheduler.NextOrders(now, maxInFlightOrders-o.inFlightOrders)
 	o.inFlightOrders += len(orders)
 	for _, order := range orders {
-		o.calls.Go(func() error {
-			started := time.Now()
-			result := o.sendOrder(ctx, order)
-			o.config.ObserveDuration("order", time.Since(started))
-			o.post(ctx, func(now time.Time) {
-				o.inFlightOrders--
-				o.handleOrderResult(result, now)
+		select {
+		case o.nextOrder <- order:
+		default:
+			o.calls.Go(func() error {
+				o.runSender(ctx, order)
+				return nil
 			})
-			return nil
-		})
+		}
 	}
 	if full := o.inFlightOrders >= maxInFlightOrders; full != o.ordersAtLimit {
 		o.ordersAtLimit = full
@@ -250,6 +248,30 @@
 	}
 }
 
+// runSender sends an order, and further ones as long as each comes within senderIdleTime after the one before. A call needs
+// a deep stack, which each new goroutine would have to grow anew.
+func (o *Owner) runSender(ctx context.Context, order apscheduler.Order) {
+	idle := time.NewTimer(senderIdleTime)
+	defer idle.Stop()
+	for {
+		started := time.Now()
+		result := o.sendOrder(ctx, order)
+		o.config.ObserveDuration("order", time.Since(started))
+		o.post(ctx, func(now time.Time) {
+			o.inFlightOrders--
+			o.handleOrderResult(result, now)
+		})
+		idle.Reset(senderIdleTime)
+		select {
+		case order = <-o.nextOrder:
+		case <-idle.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // orderResult is the result of a sent order. run is zero for a Pace order.
 type orderResult struct {
 	worker apjob.WorkerID
