apsoak: an entry must have the newest configuration once it is in touch, not before

Cause: the check asked each entry once, as soon as all jobs were done. RULES.md: "Rules with a time bound hold only for machines in touch", that is without loss on their links "for the whole ContactMs before", which is 3 s.

The change: an entry that doesn't answer as it should is asked again until 3 s after the end of all faults. Where jobs take longer than that, each is asked once, as before. So the check is as strict as the rule from the moment at which that holds.

--- a/internal/apsoak/apsoak.go
+++ b/internal/apsoak/apsoak.go
@@ -234,6 +234,7 @@
 // entry has the newest configuration.
 func (s *Soak) awaitCompletion(ctx context.Context, load *loadGenerator) error {
 	s.clearFaults()
+	calmSince := time.Now()
 	s.restoreKinds(ctx)
 	s.emulator.Record.EndTraffic()
 	for _, p := range s.entries {
@@ -253,16 +254,23 @@
 			s.emulator.Record.AddJobViolation(apemulator.InvariantCompletion, task.Job, "long-running task %s is not available %s after the end of all faults", task, s.options.FinishTimeout)
 		}
 	}
-	s.checkConfig(ctx, load)
+	s.checkConfig(ctx, load, calmSince)
 	return s.checkWaves(ctx)
 }
 
-// checkConfig checks that every entry has the newest configuration.
-func (s *Soak) checkConfig(ctx context.Context, load *loadGenerator) {
+// contactDelay is the time without impairments from which an entry is in touch and must have the newest configuration.
+const contactDelay = 3 * time.Second
+
+// checkConfig checks that every entry has the newest configuration now, or once it is in touch.
+func (s *Soak) checkConfig(ctx context.Context, load *loadGenerator, calmSince time.Time) {
 	version, marker := s.configs.newestCommitted()
 	for _, p := range s.entries {
-		if outcome := load.caller.Probe(ctx, p.callersAddress, marker); outcome.Status != http.StatusOK {
-			s.emulator.Record.AddViolation(apemulator.InvariantConfig, "%s answers with status %d for the marker queue of version %d after the end of all faults", p.name, outcome.Status, version)
+		status := 0
+		if !s.poll(ctx, time.Until(calmSince.Add(contactDelay)), func() bool {
+			status = load.caller.Probe(ctx, p.callersAddress, marker).Status
+			return status == http.StatusOK
+		}) {
+			s.emulator.Record.AddViolation(apemulator.InvariantConfig, "%s answers with status %d for the marker queue of version %d after the end of all faults", p.name, status, version)
 		}
 	}
 }
